Configuration, host and settings values; reason counters; benchmarks module

Cause: parts built side by side need the values they exchange. Ruled out: leaving each part to define its own view of customers and hosts. Conclusion: parts can start.

--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumford/benchmarks/PrefixChainBenchmark.java
@@ -0,0 +1,37 @@
+package org.geraniumford.benchmarks;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.geraniumford.core.prefix.CacheScope;
+import org.geraniumford.core.prefix.PrefixChain;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.State;
+
+/** Measures the computation of the keys of a prompt of 64 pieces. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class PrefixChainBenchmark {
+    private static final int PIECES = 64;
+    private static final int PIECE_TOKENS = 4000;
+
+    private final CacheScope scope = new CacheScope("amahoro", "weights-1", "");
+    private final List<String> levels = IntStream.range(0, PIECES)
+            .mapToObj(i -> ("level " + i + " ").repeat(PIECE_TOKENS * PrefixChain.BYTES_PER_TOKEN / 10))
+            .toList();
+
+    /**
+     * Computes the chain.
+     *
+     * @return the chain, so that the work is not removed
+     */
+    @Benchmark
+    public PrefixChain chainOf64Pieces() {
+        return PrefixChain.of(scope, levels, PIECE_TOKENS);
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumford/benchmarks/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the decision path, run by JMH. */
+package org.geraniumford.benchmarks;
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/configuration/Configuration.java
@@ -0,0 +1,109 @@
+package org.geraniumford.core.configuration;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One accepted version of the whole configuration.
+ *
+ * @param version the version; larger is later; 0 stands for no configuration
+ * @param digest the hexadecimal SHA-256 digest of {@code text}
+ * @param text the merged folder in INI
+ * @param customers the customers by name
+ * @param models the models by name
+ * @param classes the priority classes by name
+ * @param services the plain services by name
+ * @param customersByKeyDigest the customers by the digest of each API key
+ */
+public record Configuration(
+        long version,
+        String digest,
+        String text,
+        Map<String, Customer> customers,
+        Map<String, Model> models,
+        Map<String, PriorityClass> classes,
+        Map<String, PlainService> services,
+        Map<String, Customer> customersByKeyDigest) {
+    private static final Configuration EMPTY =
+            new Configuration(0, "", "", Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+
+    /** Copies the maps. */
+    public Configuration {
+        requireNonNull(digest, "digest is null");
+        requireNonNull(text, "text is null");
+        customers = Map.copyOf(customers);
+        models = Map.copyOf(models);
+        classes = Map.copyOf(classes);
+        services = Map.copyOf(services);
+        customersByKeyDigest = Map.copyOf(customersByKeyDigest);
+    }
+
+    // -- construction
+
+    /**
+     * Returns the configuration of a process that has none yet.
+     *
+     * @return version 0
+     */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version the version
+     * @param digest the digest of {@code text}
+     * @param text the merged folder in INI
+     * @param customers the customers by name
+     * @param models the models by name
+     * @param classes the priority classes by name
+     * @param services the plain services by name
+     * @return a configuration that finds customers by their keys' digests
+     * @throws IllegalStateException if two customers share a key
+     */
+    public static Configuration of(
+            long version,
+            String digest,
+            String text,
+            Map<String, Customer> customers,
+            Map<String, Model> models,
+            Map<String, PriorityClass> classes,
+            Map<String, PlainService> services) {
+        Map<String, Customer> byKeyDigest = customers.values().stream()
+                .flatMap(customer -> customer.keyDigests().stream().map(key -> Map.entry(key, customer)))
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+        return new Configuration(version, digest, text, customers, models, classes, services, byKeyDigest);
+    }
+
+    // -- queries
+
+    /**
+     * Finds a model.
+     *
+     * @param name the name in the request
+     * @return the model, or empty if there is none of that name
+     */
+    public Optional<Model> model(String name) {
+        return Optional.ofNullable(models.get(name));
+    }
+
+    /**
+     * Finds the priority class of a request.
+     *
+     * @param name the name in the request, or empty for the class with the largest rank
+     * @return the class, or empty if there is none of that name
+     */
+    public Optional<PriorityClass> priorityClass(Optional<String> name) {
+        Function<String, Optional<PriorityClass>> byName = key -> Optional.ofNullable(classes.get(key));
+        return name.isPresent()
+                ? name.flatMap(byName)
+                : classes.values().stream()
+                        .max(java.util.Comparator.comparingInt(PriorityClass::rank)
+                                .thenComparing(PriorityClass::name));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/membership/HostKind.java
@@ -0,0 +1,11 @@
+package org.geraniumford.core.membership;
+
+/** What runs on a host. */
+public enum HostKind {
+    /** An entry. */
+    ENTRY,
+    /** A model runner with its sidecar. */
+    RUNNER,
+    /** A plain service with its sidecar. */
+    SERVICE
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SidecarSettings.java
@@ -0,0 +1,32 @@
+package org.geraniumford.daemon.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+
+/**
+ * The settings of a sidecar.
+ *
+ * @param processId the process's unique name
+ * @param failureDomain the failure domain of its host
+ * @param operatorAddress where operators connect
+ * @param linkAddress where the router's other processes connect
+ * @param platform the platform's base address
+ * @param seeds link addresses of peers to ask at the start
+ * @param backend the base address of the backend server on the same host
+ * @param service the name of the plain service; empty for a model engine
+ */
+public record SidecarSettings(
+        String processId,
+        String failureDomain,
+        InetSocketAddress operatorAddress,
+        InetSocketAddress linkAddress,
+        URI platform,
+        List<InetSocketAddress> seeds,
+        URI backend,
+        String service) {
+    /** Copies the list. */
+    public SidecarSettings {
+        seeds = List.copyOf(seeds);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/metrics/ReasonCounters.java
@@ -0,0 +1,64 @@
+package org.geraniumford.transport.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.geraniumford.core.verdict.Reason;
+
+/** A counter for each reason of refusals and of retries. All exist from the start, at zero. */
+public final class ReasonCounters {
+    /** The name of the counters of refusals; the label {@code reason} holds the reason. */
+    public static final String REFUSALS = "geraniumford.refusals";
+
+    /** The name of the counters of retries; the label {@code reason} holds the reason. */
+    public static final String RETRIES = "geraniumford.retries";
+
+    private final Map<Reason, Counter> refusals;
+    private final Map<Reason, Counter> retries;
+
+    private ReasonCounters(Map<Reason, Counter> refusals, Map<Reason, Counter> retries) {
+        this.refusals = refusals;
+        this.retries = retries;
+    }
+
+    // -- construction
+
+    /**
+     * Registers the counters.
+     *
+     * @param registry where to
+     * @return the counters
+     */
+    public static ReasonCounters of(MeterRegistry registry) {
+        return new ReasonCounters(register(registry, REFUSALS), register(registry, RETRIES));
+    }
+
+    private static Map<Reason, Counter> register(MeterRegistry registry, String name) {
+        return Arrays.stream(Reason.values())
+                .collect(Collectors.toUnmodifiableMap(
+                        Function.identity(), reason -> registry.counter(name, "reason", reason.label())));
+    }
+
+    // -- commands
+
+    /**
+     * Counts a refusal.
+     *
+     * @param reason why
+     */
+    public void refused(Reason reason) {
+        refusals.get(reason).increment();
+    }
+
+    /**
+     * Counts a retry.
+     *
+     * @param reason why the try before it failed
+     */
+    public void retried(Reason reason) {
+        retries.get(reason).increment();
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters that every daemon has. */
+package org.geraniumford.transport.metrics;
