--- a/core/src/main/java/org/geraniumford/core/prefix/PrefixChain.java
+++ b/core/src/main/java/org/geraniumford/core/prefix/PrefixChain.java
@@ -20,9 +20,11 @@
     private static final String DIGEST = "SHA-256";
 
     private final List<Piece> pieces;
+    private final List<Integer> levelEnds;
 
-    private PrefixChain(List<Piece> pieces) {
-        this.pieces = pieces;
+    private PrefixChain(List<Piece> pieces, List<Integer> levelEnds) {
+        this.pieces = List.copyOf(pieces);
+        this.levelEnds = List.copyOf(levelEnds);
     }
 
     // -- construction
@@ -45,6 +47,7 @@
         MessageDigest digest = newDigest();
         byte[] link = root(digest, scope);
         List<Piece> pieces = new ArrayList<>();
+        List<Integer> levelEnds = new ArrayList<>();
         int pieceBytes = pieceTokens * BYTES_PER_TOKEN;
         for (String level : levels) {
             byte[] bytes = level.getBytes(StandardCharsets.UTF_8);
@@ -55,8 +58,11 @@
                 link = digest.digest();
                 pieces.add(new Piece(keyOf(link), Math.max(1, length / BYTES_PER_TOKEN)));
             }
+            if (bytes.length > 0) {
+                levelEnds.add(pieces.size());
+            }
         }
-        return new PrefixChain(List.copyOf(pieces));
+        return new PrefixChain(pieces, levelEnds);
     }
 
     // -- queries
@@ -79,6 +85,15 @@
         return pieces.stream().map(Piece::key).toList();
     }
 
+    /**
+     * Returns where the prompt's levels end.
+     *
+     * @return for each level that is not empty, the number of pieces up to its end
+     */
+    public List<Integer> levelEnds() {
+        return levelEnds;
+    }
+
     /**
      * Returns the number of pieces.
      *
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/routing/HintCache.java
@@ -0,0 +1,88 @@
+package org.geraniumford.core.routing;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.geraniumford.core.prefix.Piece;
+import org.geraniumford.core.prefix.PieceKey;
+
+/**
+ * A bounded memory of where prefixes were last served. The least recently used entry goes first. Not thread-safe; one
+ * duty owns it.
+ */
+public final class HintCache {
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<PieceKey, Hint> hints;
+
+    private HintCache(int capacity) {
+        this.hints = new LinkedHashMap<>(16, LOAD_FACTOR, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<PieceKey, Hint> eldest) {
+                return size() > capacity;
+            }
+        };
+    }
+
+    // -- construction
+
+    /**
+     * Creates a cache.
+     *
+     * @param capacity the largest number of prefixes, at least 1
+     * @return an empty cache
+     */
+    public static HintCache ofCapacity(int capacity) {
+        return new HintCache(capacity);
+    }
+
+    // -- queries
+
+    /**
+     * Finds the longest prefix whose engine has not restarted since.
+     *
+     * @param pieces the prompt's pieces
+     * @param fleet the present engines
+     * @return the hint, or empty if none is valid
+     */
+    public Optional<Hint> longest(List<Piece> pieces, Fleet fleet) {
+        return IntStream.iterate(pieces.size() - 1, index -> index >= 0, index -> index - 1)
+                .mapToObj(index -> hints.get(pieces.get(index).key()))
+                .filter(Objects::nonNull)
+                .filter(hint -> valid(hint, fleet))
+                .findFirst();
+    }
+
+    /**
+     * Returns the number of prefixes held.
+     *
+     * @return 0 up to the capacity
+     */
+    public int size() {
+        return hints.size();
+    }
+
+    // -- commands
+
+    /**
+     * Remembers where a prompt was served.
+     *
+     * @param query the request
+     * @param host the host
+     * @param incarnation the engine's incarnation
+     */
+    public void served(RouteQuery query, String host, long incarnation) {
+        query.depths().forEach(depth -> hints.put(query.keyAt(depth), new Hint(host, incarnation, depth)));
+    }
+
+    private static boolean valid(Hint hint, Fleet fleet) {
+        return fleet.find(hint.host())
+                .filter(backend -> backend.available() && backend.incarnation() == hint.incarnation())
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the host for each attempt of a model request. */
+package org.geraniumford.core.routing;
