--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
@@ -47,7 +47,8 @@
         this.uri = request.uri();
         this.headers = request.headers().copy();
         this.body = ByteBufUtil.getBytes(request.content());
-        this.keepAlive = HttpUtil.isKeepAlive(request);
+        this.keepAlive =
+                HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
         this.ended = ended;
     }
 
--- /dev/null
+++ b/transport/src/test/java/org/geraniumford/transport/duty/DutyTest.java
@@ -0,0 +1,62 @@
+package org.geraniumford.transport.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class DutyTest {
+    private static final Duration TICK = Duration.ofMillis(10);
+
+    // -- commands
+
+    @Test
+    void shouldRefuseEventsWhenTheRingIsFullAndHandleTheRestInOrder() throws InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        List<Integer> handled = new CopyOnWriteArrayList<>();
+        Duty<Integer> duty = Duty.start("duty", 4, TICK, event -> {
+            begun.countDown();
+            awaitQuietly(release);
+            handled.add(event);
+        });
+        duty.offer(0);
+        assertThat(begun.await(30, TimeUnit.SECONDS)).isTrue();
+        int accepted = 0;
+        while (duty.offer(accepted + 1)) {
+            accepted++;
+        }
+        release.countDown();
+        duty.close();
+        assertThat(accepted).isBetween(3, 4);
+        assertThat(handled).isSorted().hasSize(accepted + 1);
+        assertThat(duty.offer(9)).isFalse();
+    }
+
+    @Test
+    void shouldGoOnWhenHandlingAnEventFails() {
+        List<Integer> handled = new CopyOnWriteArrayList<>();
+        Duty<Integer> duty = Duty.start("duty", 4, TICK, event -> {
+            if (event == 0) {
+                throw new IllegalStateException("broken event");
+            }
+            handled.add(event);
+        });
+        duty.offer(0);
+        duty.offer(1);
+        duty.close();
+        assertThat(handled).containsExactly(1);
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/test/java/org/geraniumford/transport/http/HttpServerTest.java
@@ -0,0 +1,196 @@
+package org.geraniumford.transport.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.geraniumford.core.verdict.Reason;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class HttpServerTest {
+    private static final HttpLimits LIMITS = new HttpLimits(1000, 2000, 100);
+    private static final int LIMIT_SECONDS = 30;
+
+    private final CompletableFuture<Void> callerGone = new CompletableFuture<>();
+    private EventLoopGroup group;
+    private HttpServer server;
+
+    @BeforeEach
+    void start() {
+        group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        server = HttpServer.start(group, address, LIMITS, new EchoService()).join();
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    // -- whole answers
+
+    @ParameterizedTest
+    @EnumSource(HttpClient.Version.class)
+    void shouldAnswerWhenTheCallerSpeaksEitherVersion(HttpClient.Version version) throws Exception {
+        HttpResponse<String> response = client(version).send(post("/echo", "muraho"), text());
+        assertThat(response.body()).isEqualTo("POST /echo muraho");
+        assertThat(response.version()).isEqualTo(version);
+    }
+
+    @ParameterizedTest
+    @EnumSource(HttpClient.Version.class)
+    void shouldAnswerWithTheReasonWhenTheBodyIsTooLarge(HttpClient.Version version) throws Exception {
+        HttpResponse<String> response = client(version).send(post("/echo", "x".repeat(1001)), text());
+        assertThat(response.statusCode()).isEqualTo(Reason.BODY_TOO_LARGE.status());
+        assertThat(response.body()).isEqualTo("BODY_TOO_LARGE");
+    }
+
+    // -- streamed answers
+
+    @ParameterizedTest
+    @EnumSource(HttpClient.Version.class)
+    void shouldSendEveryEventInOrderWhenTheAnswerIsStreamed(HttpClient.Version version) throws Exception {
+        HttpResponse<String> response = client(version).send(post("/events", "3"), text());
+        assertThat(response.body()).isEqualTo("data: 0\n\ndata: 1\n\ndata: 2\n\n");
+    }
+
+    @Test
+    void shouldTellTheServiceWhenTheCallerGoes() throws Exception {
+        try (Socket socket = connect()) {
+            send(socket, "POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+            assertThat(socket.getInputStream().read()).isEqualTo('H');
+        }
+        callerGone.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    // -- hostile callers
+
+    @ParameterizedTest
+    @CsvSource({
+        "'GET /echo HTTP/9.x\r\n\r\n', MALFORMED_REQUEST",
+        "'nonsense\r\n\r\n', MALFORMED_REQUEST",
+        "'POST /echo HTTP/1.1\r\nContent-Length: -4\r\n\r\n', MALFORMED_REQUEST"
+    })
+    void shouldAnswerWithTheReasonWhenTheRequestIsBroken(String request, String reason) throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, request);
+            assertThat(readAll(socket)).endsWith(reason);
+        }
+        assertStillServing();
+    }
+
+    @Test
+    void shouldAnswerWithTheReasonWhenHeadersAreTooLarge() throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, "GET /echo HTTP/1.1\r\nX: " + "y".repeat(3000) + "\r\n\r\n");
+            assertThat(readAll(socket)).endsWith("HEADER_TOO_LARGE");
+        }
+        assertStillServing();
+    }
+
+    @Test
+    void shouldAnswerInOrderWhenRequestsArePipelined() throws IOException {
+        try (Socket socket = connect()) {
+            send(socket, "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+            assertThat(readAll(socket)).containsSubsequence("GET /a", "GET /b");
+        }
+    }
+
+    // -- support
+
+    private final class EchoService implements HttpService {
+        @Override
+        public void handle(HttpExchange exchange) {
+            switch (exchange.path()) {
+                case "/events" -> stream(exchange);
+                case "/wait" -> {
+                    exchange.onClosed(() -> callerGone.complete(null));
+                    exchange.startEvents(Map.of());
+                }
+                default ->
+                    exchange.respond(
+                            200,
+                            "text/plain",
+                            exchange.method()
+                                    + ' '
+                                    + exchange.uri()
+                                    + ' '
+                                    + exchange.bodyText().orElse("?"),
+                            Map.of());
+            }
+        }
+
+        @Override
+        public void rejected(HttpExchange exchange, Reason reason) {
+            exchange.respond(reason.status(), "text/plain", reason.name(), Map.of());
+        }
+
+        private void stream(HttpExchange exchange) {
+            exchange.startEvents(Map.of());
+            int events = Integer.parseInt(exchange.bodyText().orElseThrow());
+            for (int i = 0; i < events; i++) {
+                exchange.sendEvent(Integer.toString(i));
+            }
+            exchange.endEvents();
+        }
+    }
+
+    private void assertStillServing() {
+        HttpResponse<String> response = client(HttpClient.Version.HTTP_1_1)
+                .sendAsync(post("/echo", "again"), text())
+                .join();
+        assertThat(response.statusCode()).isEqualTo(200);
+    }
+
+    private static HttpClient client(HttpClient.Version version) {
+        return HttpClient.newBuilder().version(version).build();
+    }
+
+    private static HttpResponse.BodyHandler<String> text() {
+        return HttpResponse.BodyHandlers.ofString();
+    }
+
+    private HttpRequest post(String path, String body) {
+        return HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + server.address().getPort() + path))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket =
+                new Socket(server.address().getAddress(), server.address().getPort());
+        socket.setSoTimeout(LIMIT_SECONDS * 1000);
+        return socket;
+    }
+
+    private static void send(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        try (InputStream in = socket.getInputStream()) {
+            return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+}
