EntryDaemon: caller HTTP, links to sidecars, model requests and idempotent calls

Serves chat completions, completions and idempotent service calls over the links of a pool that follows the seeds and the platform's host list. Two model duties drive the state machines; requests that are refused get the fixed JSON at once. HttpExchange tells when an answer is written whole, so that a drain waits for the last byte and not for the last write call. Compiled and linted; no test runs the daemon yet.

--- a/core/src/main/java/org/geraniumford/core/request/AttemptFailure.java
+++ b/core/src/main/java/org/geraniumford/core/request/AttemptFailure.java
@@ -18,9 +18,14 @@
         return RequestStep.of(state, cancel).then(before -> after(before, host, refusal, context));
     }
 
-    /** Ends the attempt, and goes on or gives up. */
+    /** Ends the attempt on a host, and goes on or gives up. */
     RequestStep after(RequestState state, String host, Refusal refusal, RequestContext context) {
-        RequestState ended = state.ended(verdictOf(state, refusal)).avoiding(host);
+        return after(state.avoiding(host), refusal, context);
+    }
+
+    /** Ends the attempt, and goes on or gives up. */
+    RequestStep after(RequestState state, Refusal refusal, RequestContext context) {
+        RequestState ended = state.ended(verdictOf(state, refusal));
         if (tooLate(ended, context)) {
             Refusal late = Refusal.of(
                     Reason.DEADLINE_PASSED,
--- a/core/src/main/java/org/geraniumford/core/request/RequestAction.java
+++ b/core/src/main/java/org/geraniumford/core/request/RequestAction.java
@@ -53,6 +53,13 @@
      */
     record Ping(String host) implements RequestAction {}
 
+    /**
+     * Gives a host no new work until it says something.
+     *
+     * @param host the host
+     */
+    record Suspect(String host) implements RequestAction {}
+
     /**
      * Records that an engine computes or holds the prompt's prefixes now.
      *
--- a/core/src/main/java/org/geraniumford/core/request/RequestMachine.java
+++ b/core/src/main/java/org/geraniumford/core/request/RequestMachine.java
@@ -107,7 +107,7 @@
 
     private RequestStep noBackend(RequestState state, RequestContext context) {
         Refusal refusal = Refusal.notRun(Reason.NO_BACKEND, "no live engine holds the model version");
-        return state.attempt() == 1 ? failure.fail(state, refusal) : failure.after(state, "", refusal, context);
+        return state.attempt() == 1 ? failure.fail(state, refusal) : failure.after(state, refusal, context);
     }
 
     private RequestStep probeAnswered(RequestState state, RequestEvent.ProbeAnswered answered, RequestContext context) {
@@ -255,7 +255,8 @@
     private RequestStep watch(RequestState state, Phase.Running running, RequestContext context) {
         long now = context.nowNanos();
         if (elapsed(running.pingedNanos(), limits.pongTimeout().toNanos(), context)) {
-            return silent(state, running, "the host says nothing", context);
+            return RequestStep.of(state, new RequestAction.Suspect(running.host()))
+                    .then(before -> silent(before, running, "the host says nothing", context));
         }
         boolean mayProgress = running.granted() > state.assembler().delivered();
         if (mayProgress
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/Authenticator.java
@@ -0,0 +1,62 @@
+package org.geraniumford.daemon.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.geraniumford.core.configuration.Configuration;
+import org.geraniumford.core.configuration.Customer;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.RefusalException;
+
+/** Finds the customer of a caller by the digest of its API key. */
+final class Authenticator {
+    private static final String SCHEME = "Bearer ";
+    private static final String DIGEST = "SHA-256";
+
+    private Authenticator() {}
+
+    // -- queries
+
+    /**
+     * Finds the customer.
+     *
+     * @param configuration the configuration in force
+     * @param authorization the {@code Authorization} header field
+     * @return whose key it holds
+     * @throws RefusalException if there is no key, or none that is known
+     */
+    static Customer customer(Configuration configuration, Optional<String> authorization) {
+        byte[] digest = authorization
+                .filter(field -> field.regionMatches(true, 0, SCHEME, 0, SCHEME.length()))
+                .map(field -> field.substring(SCHEME.length()).strip())
+                .filter(key -> !key.isEmpty())
+                .map(Authenticator::digest)
+                .orElseThrow(() -> refused("the Authorization header field holds no bearer key"));
+        return Optional.ofNullable(
+                        configuration.customersByKeyDigest().get(HexFormat.of().formatHex(digest)))
+                .filter(customer -> holds(customer, digest))
+                .orElseThrow(() -> refused("the API key is not known"));
+    }
+
+    /** Compares in a time that does not depend on the digests' contents. */
+    private static boolean holds(Customer customer, byte[] digest) {
+        return customer.keyDigests().stream()
+                .map(HexFormat.of()::parseHex)
+                .anyMatch(known -> MessageDigest.isEqual(known, digest));
+    }
+
+    private static byte[] digest(String key) {
+        try {
+            return MessageDigest.getInstance(DIGEST).digest(key.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(DIGEST + " is part of every Java platform", e);
+        }
+    }
+
+    private static RefusalException refused(String detail) {
+        return Refusal.notRun(Reason.UNAUTHENTICATED, detail).toException();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/CallerRequest.java
@@ -0,0 +1,32 @@
+package org.geraniumford.daemon.entry;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * The body of a model request.
+ *
+ * @param model the model's name
+ * @param levels the prompt's levels, outermost first
+ * @param maxTokens the longest answer asked for, in tokens; empty for the model's own limit
+ * @param stream whether the answer is wanted as a stream
+ * @param priorityClass the priority class asked for; empty for the lowest
+ */
+record CallerRequest(
+        String model, List<String> levels, OptionalInt maxTokens, boolean stream, Optional<String> priorityClass) {
+    CallerRequest {
+        requireNonNull(model, "model is null");
+        requireNonNull(maxTokens, "maxTokens is null");
+        requireNonNull(priorityClass, "priorityClass is null");
+        levels = List.copyOf(levels);
+    }
+
+    // -- queries
+
+    String prompt() {
+        return String.join("", levels);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -0,0 +1,213 @@
+package org.geraniumford.daemon.entry;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.geraniumford.core.close.Closer;
+import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.core.request.RequestLimits;
+import org.geraniumford.core.request.RequestMachine;
+import org.geraniumford.core.retry.RetryPolicy;
+import org.geraniumford.core.routing.CostModel;
+import org.geraniumford.core.routing.RoutingPolicy;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.core.wire.Role;
+import org.geraniumford.daemon.settings.EntrySettings;
+import org.geraniumford.transport.http.HttpLimits;
+import org.geraniumford.transport.http.HttpServer;
+import org.geraniumford.transport.link.LinkIdentity;
+import org.geraniumford.transport.link.LinkListener;
+import org.geraniumford.transport.link.LinkNetwork;
+import org.geraniumford.transport.log.LogEvent;
+
+/** An entry: takes the callers' requests and routes them to sidecars. */
+public final class EntryDaemon implements AutoCloseable {
+    private static final int NETWORK_THREADS = 2;
+    private static final long GROUP_STOP_SECONDS = 5;
+
+    private final EntrySettings settings;
+    private final EntryEnvironment environment;
+    private final Closer closer = Closer.empty();
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final EntryMetrics metrics = EntryMetrics.of(registry);
+    private final ExplainRecords records = ExplainRecords.empty();
+    private final PeerTable peers = PeerTable.empty();
+    private final InFlight inFlight = InFlight.empty();
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+    private final AtomicBoolean closing = new AtomicBoolean();
+    private final long incarnation = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    private HttpServer callers;
+    private LinkListener links;
+
+    private EntryDaemon(EntrySettings settings, EntryEnvironment environment) {
+        this.settings = settings;
+        this.environment = environment;
+    }
+
+    // -- construction
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings its settings
+     * @return the running entry, or the failure to start it
+     */
+    public static CompletableFuture<EntryDaemon> start(EntrySettings settings) {
+        return start(settings, EntryEnvironment.of(ConfigurationHolder.empty()));
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @param settings its settings
+     * @param environment what it takes from the other parts of its process
+     * @return the running entry, or the failure to start it
+     */
+    public static CompletableFuture<EntryDaemon> start(EntrySettings settings, EntryEnvironment environment) {
+        requireNonNull(settings, "settings is null");
+        requireNonNull(environment, "environment is null");
+        EntryDaemon daemon = new EntryDaemon(settings, environment);
+        return daemon.open().thenApply(done -> daemon).whenComplete((done, failure) -> {
+            if (failure != null) {
+                daemon.close();
+            }
+        });
+    }
+
+    private CompletableFuture<Void> open() {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+        closer.add(() -> group.shutdownGracefully(0, GROUP_STOP_SECONDS, TimeUnit.SECONDS)
+                .await(GROUP_STOP_SECONDS, TimeUnit.SECONDS));
+        LinkNetwork network = LinkNetwork.of(group, identity());
+        ModelShards shards = closer.add(ModelShards.start(shardParts(), incarnation));
+        SidecarCalls calls = SidecarCalls.of(peers, settings.failureDomain());
+        EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, calls));
+        EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
+        closer.add(PeerPool.start(network, targets, peers, receiver));
+        CallerService service = new CallerService(
+                environment.configurations(),
+                RequestIds.of(settings.processId(), incarnation),
+                shards,
+                new IdempotentCalls(calls),
+                metrics,
+                inFlight);
+        return network.listen(settings.linkAddress(), receiver)
+                .thenAccept(listener -> links = closer.add(listener))
+                .thenCompose(done -> HttpServer.start(group, settings.callerAddress(), HttpLimits.standard(), service))
+                .thenAccept(server -> callers = closer.add(server))
+                .thenRun(this::logStart);
+    }
+
+    private ModelShard.ShardParts shardParts() {
+        RequestMachine machine = RequestMachine.of(
+                RoutingPolicy.PROBE, CostModel.standard(), RetryPolicy.standard(), RequestLimits.standard());
+        SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
+        return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
+    }
+
+    private LinkIdentity identity() {
+        Message.Hello hello = new Message.Hello(settings.processId(), Role.ENTRY, settings.failureDomain(), "");
+        return new LinkIdentity(hello, incarnation, environment.configurations()::version);
+    }
+
+    private void logStart() {
+        LogEvent.of("entry_started")
+                .with("process", settings.processId())
+                .with("incarnation", incarnation)
+                .with("callers", callers.address())
+                .with("links", links.address())
+                .info();
+    }
+
+    // -- queries
+
+    /**
+     * Returns where callers connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress callerAddress() {
+        return callers.address();
+    }
+
+    /**
+     * Returns where the router's other processes connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress linkAddress() {
+        return links.address();
+    }
+
+    /**
+     * Says whether the entry takes new work with a good chance to serve it.
+     *
+     * @return true while it has a configuration and a live model engine or service and is not shutting down
+     */
+    public boolean ready() {
+        return !inFlight.draining()
+                && environment.configurations().version() > 0
+                && peers.all().stream().anyMatch(peer -> peer.state().isPresent());
+    }
+
+    /**
+     * Returns the measurements.
+     *
+     * @return the registry of the entry's meters
+     */
+    public MeterRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Returns why requests went where they went.
+     *
+     * @return the records of the latest requests
+     */
+    public ExplainRecords records() {
+        return records;
+    }
+
+    /**
+     * Returns when the entry has ended.
+     *
+     * @return done once everything is closed
+     */
+    public CompletableFuture<Void> closed() {
+        return closed.copy();
+    }
+
+    // -- commands
+
+    /**
+     * Refuses new requests, finishes the others, and closes the entry.
+     *
+     * @return done once everything is closed
+     */
+    public CompletableFuture<Void> drain() {
+        LogEvent.of("entry_draining").with("requests", inFlight.count()).info();
+        return inFlight.drain().thenRunAsync(this::close).thenCompose(done -> closed());
+    }
+
+    /** Closes the entry at once; requests without an answer are cut. Use {@link #drain} to finish them. */
+    @Override
+    public void close() {
+        if (closing.compareAndSet(false, true)) {
+            closer.close();
+            closed.complete(null);
+            LogEvent.of("entry_closed").with("process", settings.processId()).info();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryLinks.java
@@ -0,0 +1,48 @@
+package org.geraniumford.daemon.entry;
+
+import java.util.List;
+import java.util.function.BiPredicate;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+import org.geraniumford.transport.link.LinkHandler;
+
+/** Shares out the messages that reach an entry, on the links that it opened and on those that it accepted. */
+final class EntryLinks implements PeerListener, LinkHandler {
+    private final BiPredicate<Link, Envelope> configurationMessages;
+    private final List<PeerListener> listeners;
+
+    EntryLinks(BiPredicate<Link, Envelope> configurationMessages, List<PeerListener> listeners) {
+        this.configurationMessages = configurationMessages;
+        this.listeners = List.copyOf(listeners);
+    }
+
+    // -- links to sidecars
+
+    @Override
+    public void received(String host, Link link, Envelope envelope) {
+        if (!configurationMessages.test(link, envelope)) {
+            listeners.forEach(listener -> listener.received(host, link, envelope));
+        }
+    }
+
+    @Override
+    public void lost(String host, Link link, boolean broken) {
+        listeners.forEach(listener -> listener.lost(host, link, broken));
+    }
+
+    // -- links from other processes
+
+    @Override
+    public void opened(Link link) {}
+
+    @Override
+    public void received(Link link, Envelope envelope) {
+        if (!configurationMessages.test(link, envelope) && envelope.message() instanceof Message.Ping ping) {
+            link.send(new Message.Pong(ping.id()));
+        }
+    }
+
+    @Override
+    public void closed(Link link, boolean broken) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryTargets.java
@@ -0,0 +1,51 @@
+package org.geraniumford.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.geraniumford.core.membership.Host;
+import org.geraniumford.core.membership.HostKind;
+import org.geraniumford.core.membership.HostState;
+
+/** Where an entry connects to: the seeds, and the sidecars of the platform's list. */
+final class EntryTargets implements Supplier<PeerPool.Targets> {
+    private final Collection<InetSocketAddress> seeds;
+    private final Supplier<List<Host>> hosts;
+
+    EntryTargets(Collection<InetSocketAddress> seeds, Supplier<List<Host>> hosts) {
+        this.seeds = seeds;
+        this.hosts = hosts;
+    }
+
+    // -- queries
+
+    @Override
+    public PeerPool.Targets get() {
+        List<Host> sidecars = hosts.get().stream()
+                .filter(host -> host.kind() != HostKind.ENTRY)
+                .toList();
+        Set<InetSocketAddress> listed = addresses(sidecars, host -> true);
+        Set<InetSocketAddress> all =
+                Stream.concat(seeds.stream(), listed.stream()).collect(Collectors.toUnmodifiableSet());
+        return new PeerPool.Targets(all, addresses(sidecars, host -> host.state() == HostState.LEAVING));
+    }
+
+    private static Set<InetSocketAddress> addresses(List<Host> hosts, Predicate<Host> filter) {
+        return hosts.stream()
+                .filter(filter)
+                .map(Host::address)
+                .filter(address -> address.lastIndexOf(':') > 0)
+                .map(EntryTargets::parse)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private static InetSocketAddress parse(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ErrorAnswer.java
@@ -0,0 +1,56 @@
+package org.geraniumford.daemon.entry;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.transport.http.HttpExchange;
+
+/**
+ * The answer to a refused request.
+ *
+ * @param requestId the request's identifier
+ * @param refusal what was refused and why
+ */
+record ErrorAnswer(String requestId, Refusal refusal) {
+    /** The header field that names the request. */
+    static final String REQUEST_ID = "X-Request-Id";
+
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    // -- commands
+
+    void sendTo(HttpExchange exchange) {
+        exchange.respond(refusal.reason().status(), HttpExchange.JSON, json(), fields());
+    }
+
+    // -- queries
+
+    String json() {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.putObject("error")
+                .put("reason", refusal.reason().label())
+                .put("verdict", refusal.verdict().label())
+                .put("message", refusal.detail())
+                .put("request_id", requestId)
+                .put("retry_after_ms", refusal.retryAfter().toMillis());
+        return body.toString();
+    }
+
+    private Map<String, String> fields() {
+        return Stream.concat(
+                        Stream.of(Map.entry(REQUEST_ID, requestId)),
+                        retryAfterSeconds().map(seconds -> Map.entry("Retry-After", seconds)).stream())
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+    }
+
+    private Optional<String> retryAfterSeconds() {
+        Duration wait = refusal.retryAfter();
+        long seconds = (wait.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+        return wait.isZero() ? Optional.empty() : Optional.of(Long.toString(Math.max(1, seconds)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/IdempotentCalls.java
@@ -0,0 +1,58 @@
+package org.geraniumford.daemon.entry;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.geraniumford.core.retry.RetryDecision;
+import org.geraniumford.core.retry.RetryPolicy;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.RefusalException;
+import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Message;
+
+/** Makes calls that may be repeated, on one host after the other until one answers. */
+final class IdempotentCalls implements ServiceCaller {
+    private final CallGateway gateway;
+    private final RetryPolicy retries = RetryPolicy.standard();
+
+    IdempotentCalls(CallGateway gateway) {
+        this.gateway = gateway;
+    }
+
+    // -- commands
+
+    @Override
+    public CompletableFuture<Message.CallResult> call(ServiceRequest request) {
+        if (!request.service().idempotent(request.method())) {
+            Refusal refusal = Refusal.notRun(Reason.STORE_UNAVAILABLE, "no claim can be recorded");
+            return CompletableFuture.failedFuture(refusal.toException());
+        }
+        return attempt(request, new AttemptId(request.requestId(), 1));
+    }
+
+    private CompletableFuture<Message.CallResult> attempt(ServiceRequest request, AttemptId id) {
+        List<String> hosts = gateway.candidates(request.service().name());
+        if (hosts.isEmpty()) {
+            Refusal refusal = Refusal.notRun(Reason.NO_BACKEND, "no live host serves the service");
+            return CompletableFuture.failedFuture(refusal.toException());
+        }
+        String host = hosts.get((id.attempt() - 1) % hosts.size());
+        return gateway.call(host, message(request, id)).exceptionallyCompose(failure -> again(request, id, failure));
+    }
+
+    private CompletableFuture<Message.CallResult> again(ServiceRequest request, AttemptId id, Throwable failure) {
+        Refusal refusal = RefusalException.refusalOf(failure, Verdict.MAY_HAVE_RUN);
+        RetryDecision decision = retries.decide(refusal, true, id.attempt(), true);
+        return decision == RetryDecision.RETRY
+                ? attempt(request, id.next())
+                : CompletableFuture.failedFuture(refusal.toException());
+    }
+
+    private static Message.Call message(ServiceRequest request, AttemptId id) {
+        long timeout = TimeUnit.NANOSECONDS.toMicros(request.service().timeout().toNanos());
+        return new Message.Call(
+                id, "", 0, request.method(), request.path(), request.contentType(), request.body(), timeout);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/InFlight.java
@@ -0,0 +1,64 @@
+package org.geraniumford.daemon.entry;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Counts the requests that have no answer yet, and says when the last one has it. Thread-safe. */
+final class InFlight {
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+    private int count;
+    private boolean draining;
+
+    private InFlight() {}
+
+    // -- construction
+
+    static InFlight empty() {
+        return new InFlight();
+    }
+
+    // -- commands
+
+    /** Counts a new request; returns false, and counts nothing, once draining has begun. */
+    synchronized boolean enter() {
+        if (draining) {
+            return false;
+        }
+        count++;
+        return true;
+    }
+
+    /** Counts the end of a request. */
+    void exit() {
+        boolean last;
+        synchronized (this) {
+            count--;
+            last = draining && count == 0;
+        }
+        if (last) {
+            drained.complete(null);
+        }
+    }
+
+    /** Admits no more requests; the future completes when the last one has ended. */
+    CompletableFuture<Void> drain() {
+        boolean idle;
+        synchronized (this) {
+            draining = true;
+            idle = count == 0;
+        }
+        if (idle) {
+            drained.complete(null);
+        }
+        return drained;
+    }
+
+    // -- queries
+
+    synchronized int count() {
+        return count;
+    }
+
+    synchronized boolean draining() {
+        return draining;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/PeerHandler.java
@@ -0,0 +1,73 @@
+package org.geraniumford.daemon.entry;
+
+import java.net.InetSocketAddress;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+import org.geraniumford.transport.link.LinkHandler;
+import org.geraniumford.transport.log.LogEvent;
+
+/** Keeps the peer table up to date with what one dialled connection says. */
+final class PeerHandler implements LinkHandler {
+    private final InetSocketAddress address;
+    private final PeerTable table;
+    private final PeerListener listener;
+    private final PeerPool pool;
+    private volatile String host = "";
+
+    PeerHandler(InetSocketAddress address, PeerTable table, PeerListener listener, PeerPool pool) {
+        this.address = address;
+        this.table = table;
+        this.listener = listener;
+        this.pool = pool;
+    }
+
+    @Override
+    public void opened(Link link) {}
+
+    @Override
+    public void received(Link link, Envelope envelope) {
+        if (envelope.message() instanceof Message.Hello hello) {
+            greeted(link, envelope.incarnation(), hello);
+            return;
+        }
+        if (host.isEmpty()) {
+            link.close();
+            return;
+        }
+        heard(link);
+        if (envelope.message() instanceof Message.SidecarState state) {
+            table.update(host, link, peer -> peer.with(state));
+        }
+        listener.received(host, link, envelope);
+    }
+
+    @Override
+    public void closed(Link link, boolean broken) {
+        pool.disconnected(address);
+        if (!host.isEmpty()) {
+            table.remove(host, link);
+            listener.lost(host, link, broken);
+            LogEvent.of("link_closed").with("host", host).with("broken", broken).info();
+        }
+    }
+
+    private void greeted(Link link, long incarnation, Message.Hello hello) {
+        host = hello.processId();
+        if (table.add(Peer.of(address, link, incarnation, hello))) {
+            LogEvent.of("link_opened")
+                    .with("host", host)
+                    .with("address", address)
+                    .info();
+        } else {
+            link.close();
+        }
+    }
+
+    private void heard(Link link) {
+        boolean suspect = table.find(host).filter(Peer::suspect).isPresent();
+        if (suspect) {
+            table.update(host, link, peer -> peer.suspect(false));
+        }
+    }
+}
--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 /** One HTTP request and the way to answer it. Thread-safe; the answer is written by one caller. */
 public final class HttpExchange {
@@ -37,6 +38,7 @@
     private final byte[] body;
     private final boolean keepAlive;
     private final Runnable ended;
+    private final CompletableFuture<Void> done = new CompletableFuture<>();
     private volatile Runnable closedListener = () -> {};
     private volatile Runnable writableListener = () -> {};
     private volatile boolean closed;
@@ -232,9 +234,19 @@
         }
     }
 
+    /**
+     * Sets what to do once the answer has been written whole or the connection has ended, whichever is first.
+     *
+     * @param listener called once, on a network thread; at once if that has happened already
+     */
+    public void onDone(Runnable listener) {
+        done.thenRun(listener);
+    }
+
     void channelClosed() {
         closed = true;
         closedListener.run();
+        done.complete(null);
     }
 
     void channelWritable() {
@@ -251,7 +263,10 @@
 
     private void finish(Object last) {
         var written = context.writeAndFlush(last);
-        written.addListener(done -> ended.run());
+        written.addListener(flushed -> {
+            done.complete(null);
+            ended.run();
+        });
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
         }
