--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/PlatformControl.java
@@ -0,0 +1,77 @@
+package org.geraniumford.trials.deployment;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
+/** Controls the platform stand-in: registers hosts and sets faults. */
+public final class PlatformControl {
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+
+    private final String address;
+
+    private PlatformControl(String address) {
+        this.address = address;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a control.
+     *
+     * @param address the platform's base address
+     * @return a control of that platform
+     */
+    public static PlatformControl of(String address) {
+        return new PlatformControl(address);
+    }
+
+    // -- commands
+
+    /**
+     * Puts a host on the platform's list.
+     *
+     * @param name the host's name
+     * @param kind {@code entry}, {@code runner} or {@code service}
+     * @param link the link address of its daemon
+     * @param failureDomain its failure domain
+     * @param state {@code live} or {@code leaving}
+     * @throws IOException if the platform refuses
+     */
+    public void register(String name, String kind, String link, String failureDomain, String state)
+            throws IOException {
+        String body =
+                """
+                {"name":"%s","kind":"%s","address":"%s","failure_domain":"%s","state":"%s"}"""
+                        .formatted(name, kind, link, failureDomain, state);
+        send("PUT", "/hosts/" + name, body);
+    }
+
+    /**
+     * Sets the platform's faults.
+     *
+     * @param json the switches
+     * @throws IOException if the platform refuses
+     */
+    public void faults(String json) throws IOException {
+        send("POST", "/faults", json);
+    }
+
+    private void send(String method, String path, String body) throws IOException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(address + path))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            HttpResponse<String> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() >= 300) {
+                throw new IOException(method + " " + path + " answered " + response.statusCode() + ": "
+                        + response.body());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+}
