Stand-ins of the engine, the plain service and the platform

Cause: tests, the demo and measurements need the outside systems of docs/INTERFACES.md as small processes. Ruled out: a thread for each request (a dozen engines must fit one machine); one thread of each stand-in runs every request and timer, so its state needs no locks. Change: the three stand-ins, their command line, embeddable classes and fault switches; HttpServer can close its open connections, which a simulated crash needs.

--- /dev/null
+++ b/stand-ins/src/main/java/org/geraniumford/standins/engine/CacheListener.java
@@ -0,0 +1,13 @@
+package org.geraniumford.standins.engine;
+
+import java.util.List;
+import org.geraniumford.core.prefix.PieceKey;
+
+/** Hears of changes of the cache. */
+interface CacheListener {
+    /** So many pieces were added. */
+    void stored(List<PieceKey> keys);
+
+    /** So many pieces were dropped. */
+    void evicted(List<PieceKey> keys);
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/geraniumford/standins/http/DownSwitch.java
@@ -0,0 +1,28 @@
+package org.geraniumford.standins.http;
+
+import java.util.function.BooleanSupplier;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.transport.http.HttpExchange;
+import org.geraniumford.transport.http.HttpService;
+
+/**
+ * Cuts every connection on which a request arrives while the process is to seem dead.
+ *
+ * @param service answers the requests at other times
+ * @param down whether the process seems dead
+ */
+public record DownSwitch(HttpService service, BooleanSupplier down) implements HttpService {
+    @Override
+    public void handle(HttpExchange exchange) {
+        if (down.getAsBoolean()) {
+            exchange.abort();
+        } else {
+            service.handle(exchange);
+        }
+    }
+
+    @Override
+    public void rejected(HttpExchange exchange, Reason reason) {
+        service.rejected(exchange, reason);
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/geraniumford/standins/platform/PlatformRoutes.java
@@ -0,0 +1,222 @@
+package org.geraniumford.standins.platform;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.geraniumford.standins.http.Json;
+import org.geraniumford.standins.http.Routes;
+import org.geraniumford.transport.http.HttpExchange;
+
+/** The platform's HTTP interface. Confined to one thread. */
+final class PlatformRoutes {
+    private static final int MAX_ROWS = 1000;
+    private static final int PARALLEL_LOADS = 3;
+    private static final String BYTES = "application/octet-stream";
+
+    private final EventLoop loop;
+    private final PlatformOptions options;
+    private final Random random;
+    private final Tables tables = new Tables();
+    private final Map<String, byte[]> objects = new HashMap<>();
+    private final HostList hosts;
+    private final RateLimit writes;
+    private final RateLimit reads;
+    private PlatformFaults faults = PlatformFaults.none();
+    private int loading;
+
+    PlatformRoutes(EventLoop loop, PlatformOptions options) {
+        this.loop = loop;
+        this.options = options;
+        this.random = new Random(options.seed());
+        this.hosts = new HostList(TimeUnit.MILLISECONDS.toMicros(options.hostListLagMillis()));
+        this.writes = new RateLimit(options.writesPerSecond(), now());
+        this.reads = new RateLimit(options.readsPerSecond(), now());
+    }
+
+    Routes routes() {
+        return Routes.empty()
+                .with("GET", "/tables/", reading(this::readTable))
+                .with("POST", "/tables", writing(this::commit))
+                .with("GET", "/objects/", reading(this::readObject))
+                .with("PUT", "/objects/", writing(this::writeObject))
+                .with("GET", "/hosts", reading(this::listHosts))
+                .with("PUT", "/hosts/", this::putHost)
+                .with("POST", "/weights/", reading(this::fetchWeights))
+                .with("POST", "/faults", (exchange, rest) -> changeFaults(exchange));
+    }
+
+    // -- limits and faults
+
+    private BiConsumer<HttpExchange, String> reading(BiConsumer<HttpExchange, String> handler) {
+        return (exchange, rest) -> guarded(exchange, reads, () -> handler.accept(exchange, rest));
+    }
+
+    private BiConsumer<HttpExchange, String> writing(BiConsumer<HttpExchange, String> handler) {
+        return (exchange, rest) -> guarded(exchange, writes, () -> handler.accept(exchange, rest));
+    }
+
+    private void guarded(HttpExchange exchange, RateLimit limit, Runnable handler) {
+        if (faults.outage()) {
+            Json.refuse(exchange, 503, "outage");
+        } else if (!limit.tryAcquire(now())) {
+            Json.refuse(exchange, 429, "rate_limited");
+        } else if (faults.slowMillis() > 0) {
+            loop.schedule(() -> Routes.guarded(exchange, handler), faults.slowMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            handler.run();
+        }
+    }
+
+    /** Answers a write that was carried out, unless its reply is lost. */
+    private void reply(HttpExchange exchange, int status, Object body) {
+        if (faults.loseReplies() > 0) {
+            faults = faults.afterLostReply();
+            exchange.abort();
+        } else if (random.nextDouble() < faults.loseReplyFraction()) {
+            exchange.abort();
+        } else {
+            Json.respond(exchange, status, body);
+        }
+    }
+
+    private boolean requestLost(HttpExchange exchange) {
+        boolean lost = faults.loseRequests() > 0;
+        if (lost) {
+            faults = faults.afterLostRequest();
+            exchange.abort();
+        }
+        return lost;
+    }
+
+    void inject(PlatformFaults change) {
+        faults = faults.with(change);
+        hosts.stale(faults.staleHosts());
+    }
+
+    private void changeFaults(HttpExchange exchange) {
+        inject(Json.body(exchange, PlatformFaults.class));
+        Json.respond(exchange, 200, faults);
+    }
+
+    // -- tables
+
+    private void readTable(HttpExchange exchange, String rest) {
+        int slash = rest.indexOf('/');
+        if (slash < 0) {
+            listRows(exchange, decode(rest));
+            return;
+        }
+        tables.find(decode(rest.substring(0, slash)), decode(rest.substring(slash + 1)))
+                .ifPresentOrElse(
+                        row -> Json.respond(exchange, 200, row), () -> Json.refuse(exchange, 404, "unknown_row"));
+    }
+
+    private void listRows(HttpExchange exchange, String table) {
+        Map<String, List<String>> query = new QueryStringDecoder(exchange.uri()).parameters();
+        String after = query.getOrDefault("after", List.of("")).get(0);
+        String limit =
+                query.getOrDefault("limit", List.of(String.valueOf(MAX_ROWS))).get(0);
+        int most = Math.min(MAX_ROWS, Integer.parseInt(limit));
+        Json.respond(exchange, 200, Map.of("rows", tables.rows(table, after, most)));
+    }
+
+    private void commit(HttpExchange exchange, String rest) {
+        List<Tables.Operation> operations =
+                Json.body(exchange, Transaction.class).operations();
+        if (operations == null || operations.isEmpty()) {
+            throw new IllegalArgumentException("operations is missing");
+        }
+        if (requestLost(exchange)) {
+            return;
+        }
+        Tables.Outcome outcome = tables.commit(operations);
+        if (outcome.conflicts().isEmpty()) {
+            reply(exchange, 200, Map.of("versions", outcome.versions()));
+        } else {
+            reply(exchange, 409, Map.of("conflicts", outcome.conflicts()));
+        }
+    }
+
+    // -- objects
+
+    private void readObject(HttpExchange exchange, String digest) {
+        byte[] bytes = objects.get(digest);
+        if (bytes == null) {
+            Json.refuse(exchange, 404, "unknown_object");
+        } else {
+            exchange.respond(200, BYTES, bytes, Map.of());
+        }
+    }
+
+    private void writeObject(HttpExchange exchange, String digest) {
+        byte[] bytes = exchange.bodyBytes();
+        if (!sha256(bytes).equals(digest)) {
+            throw new IllegalArgumentException("the digest is not that of the body");
+        }
+        if (requestLost(exchange)) {
+            return;
+        }
+        objects.put(digest, bytes);
+        reply(exchange, 200, Map.of());
+    }
+
+    private static String sha256(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is part of every Java platform", e);
+        }
+    }
+
+    // -- hosts and weights
+
+    private void listHosts(HttpExchange exchange, String rest) {
+        Json.respond(exchange, 200, Map.of("hosts", hosts.hosts(now())));
+    }
+
+    private void putHost(HttpExchange exchange, String name) {
+        hosts.put(Json.body(exchange, HostBody.class).named(decode(name)), now());
+        Json.respond(exchange, 200, Map.of());
+    }
+
+    private void fetchWeights(HttpExchange exchange, String rest) {
+        if (!rest.endsWith("/fetch")) {
+            Json.refuse(exchange, 404, "unknown_path");
+            return;
+        }
+        String version = decode(rest.substring(0, rest.length() - "/fetch".length()));
+        loading++;
+        long millis = options.weightLoadMillis() * Math.max(PARALLEL_LOADS, loading) / PARALLEL_LOADS;
+        loop.schedule(
+                () -> {
+                    loading--;
+                    Json.respond(exchange, 200, Map.of("weights_digest", weightsDigest(version)));
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** The weights of a version in the weight store: a digest of its name. */
+    private static String weightsDigest(String version) {
+        return sha256(version.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String decode(String part) {
+        return QueryStringDecoder.decodeComponent(part);
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+    }
+
+    private record Transaction(List<Tables.Operation> operations) {}
+}
--- /dev/null
+++ b/stand-ins/src/main/java/org/geraniumford/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform: tables, objects, weights and the list of hosts. */
+package org.geraniumford.standins.platform;
--- /dev/null
+++ b/stand-ins/src/main/java/org/geraniumford/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** A plain service with idempotent and other calls. */
+package org.geraniumford.standins.service;
--- a/transport/src/main/java/org/geraniumford/transport/http/HttpServer.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpServer.java
@@ -9,20 +9,24 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** A socket that serves HTTP/1.1 and, by prior knowledge or upgrade, HTTP/2. */
 public final class HttpServer implements AutoCloseable {
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Channel channel;
+    private final ChannelGroup connections;
 
-    private HttpServer(Channel channel) {
+    private HttpServer(Channel channel, ChannelGroup connections) {
         this.channel = channel;
+        this.connections = connections;
     }
 
     // -- construction
@@ -40,7 +44,7 @@
             EventLoopGroup group, InetSocketAddress address, HttpLimits limits, HttpService service) {
         requireNonNull(limits, "limits is null");
         requireNonNull(service, "service is null");
-        AtomicInteger connections = new AtomicInteger();
+        ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -58,7 +62,7 @@
         CompletableFuture<HttpServer> completion = new CompletableFuture<>();
         bound.addListener(done -> {
             if (done.isSuccess()) {
-                completion.complete(new HttpServer(bound.channel()));
+                completion.complete(new HttpServer(bound.channel(), connections));
             } else {
                 completion.completeExceptionally(done.cause());
             }
@@ -67,12 +71,12 @@
     }
 
     private static void accept(
-            SocketChannel accepted, HttpLimits limits, HttpService service, AtomicInteger connections) {
-        accepted.closeFuture().addListener(done -> connections.decrementAndGet());
-        if (connections.incrementAndGet() > limits.maxConnections()) {
+            SocketChannel accepted, HttpLimits limits, HttpService service, ChannelGroup connections) {
+        if (connections.size() >= limits.maxConnections()) {
             accepted.close();
             return;
         }
+        connections.add(accepted);
         HttpPipeline.of(limits, service).addTo(accepted.pipeline());
     }
 
@@ -89,6 +93,11 @@
 
     // -- commands
 
+    /** Closes every open connection; new ones are still accepted. */
+    public void dropConnections() {
+        connections.close();
+    }
+
     /** Stops accepting connections; open ones stay open. */
     @Override
     public void close() {
