--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/store/TableOperation.java
@@ -0,0 +1,61 @@
+package org.geraniumford.core.store;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+
+/**
+ * One write of a transaction.
+ *
+ * @param table the table's name
+ * @param row the row's name
+ * @param expect the version that must be there; 0 means that the row must not exist
+ * @param value the new text; empty deletes the row
+ */
+public record TableOperation(String table, String row, long expect, Optional<String> value) {
+    /** Checks the components. */
+    public TableOperation {
+        requireNonNull(table, "table is null");
+        requireNonNull(row, "row is null");
+        requireNonNull(value, "value is null");
+    }
+
+    // -- construction
+
+    /**
+     * Creates a row that must not exist.
+     *
+     * @param table the table's name
+     * @param row the row's name
+     * @param value the text
+     * @return the write
+     */
+    public static TableOperation insert(String table, String row, String value) {
+        return new TableOperation(table, row, 0, Optional.of(value));
+    }
+
+    /**
+     * Replaces a row if its version is still the expected one.
+     *
+     * @param table the table's name
+     * @param row the row's name
+     * @param expect the version that must be there; 0 means that the row must not exist
+     * @param value the new text
+     * @return the write
+     */
+    public static TableOperation replace(String table, String row, long expect, String value) {
+        return new TableOperation(table, row, expect, Optional.of(value));
+    }
+
+    /**
+     * Deletes a row if its version is still the expected one.
+     *
+     * @param table the table's name
+     * @param row the row's name
+     * @param expect the version that must be there
+     * @return the write
+     */
+    public static TableOperation delete(String table, String row, long expect) {
+        return new TableOperation(table, row, expect, Optional.empty());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/membership/HostDirectory.java
@@ -0,0 +1,159 @@
+package org.geraniumford.daemon.membership;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.geraniumford.core.membership.Host;
+import org.geraniumford.core.membership.HostListPolling;
+import org.geraniumford.core.verdict.RefusalException;
+import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.transport.duty.Duty;
+import org.geraniumford.transport.duty.DutyHandler;
+import org.geraniumford.transport.log.LogEvent;
+import org.geraniumford.transport.platform.PlatformClient;
+
+/** Reads the platform's host list at jittered intervals and keeps the last good one. Queries are thread-safe. */
+public final class HostDirectory implements AutoCloseable {
+    private static final int RING = 64;
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final long READ_TIMEOUT_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private final Supplier<CompletableFuture<List<Host>>> source;
+    private final SplittableRandom random;
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+    private final CompletableFuture<Void> loaded = new CompletableFuture<>();
+    private volatile List<Host> hosts = List.of();
+    private volatile Duty<Optional<List<Host>>> duty;
+    private long readAtNanos;
+    private boolean failing;
+
+    private HostDirectory(Supplier<CompletableFuture<List<Host>>> source, long seed) {
+        this.source = source;
+        this.random = new SplittableRandom(seed);
+        this.readAtNanos = System.nanoTime();
+    }
+
+    // -- construction
+
+    /**
+     * Starts reading the platform's list.
+     *
+     * @param platform the platform
+     * @param seed makes this process's jitter differ from that of others
+     * @return a directory that is empty until the first list arrives
+     */
+    public static HostDirectory start(PlatformClient platform, long seed) {
+        requireNonNull(platform, "platform is null");
+        return start(platform::hosts, seed);
+    }
+
+    /**
+     * Starts reading a list.
+     *
+     * @param source reads the list once
+     * @param seed makes this process's jitter differ from that of others
+     * @return a directory that is empty until the first list arrives
+     */
+    public static HostDirectory start(Supplier<CompletableFuture<List<Host>>> source, long seed) {
+        HostDirectory directory = new HostDirectory(requireNonNull(source, "source is null"), seed);
+        directory.duty = Duty.start("membership", RING, TICK, directory.new Handler());
+        return directory;
+    }
+
+    // -- queries
+
+    /**
+     * Returns the last good list.
+     *
+     * @return hosts in the platform's order; empty before the first list
+     */
+    public List<Host> hosts() {
+        return hosts;
+    }
+
+    /**
+     * Returns when the first list is there.
+     *
+     * @return done with the first list
+     */
+    public CompletableFuture<Void> loaded() {
+        return loaded.copy();
+    }
+
+    // -- commands
+
+    /**
+     * Adds a listener for changes of the list.
+     *
+     * @param listener called on the directory's own thread, after {@link #hosts} has changed
+     */
+    public void onChange(Runnable listener) {
+        listeners.add(requireNonNull(listener, "listener is null"));
+    }
+
+    /** Stops reading; the last list stays. */
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    // -- the duty
+
+    private final class Handler implements DutyHandler<Optional<List<Host>>> {
+        @Override
+        public void handle(Optional<List<Host>> answer) {
+            answer.filter(list -> !list.equals(hosts)).ifPresent(HostDirectory.this::replace);
+            answer.ifPresent(list -> loaded.complete(null));
+            schedule();
+        }
+
+        @Override
+        public void tick() {
+            long now = System.nanoTime();
+            if (now - readAtNanos >= 0) {
+                readAtNanos = now + READ_TIMEOUT_NANOS;
+                read();
+            }
+        }
+    }
+
+    private void read() {
+        source.get().whenComplete((list, failure) -> {
+            note(failure);
+            duty.offer(Optional.ofNullable(list));
+        });
+    }
+
+    private void schedule() {
+        long mean = TimeUnit.MICROSECONDS.toNanos(HostListPolling.intervalMicros(hosts.size()));
+        readAtNanos = System.nanoTime() + mean / 2 + random.nextLong(mean);
+    }
+
+    private void replace(List<Host> list) {
+        hosts = List.copyOf(list);
+        listeners.forEach(Runnable::run);
+    }
+
+    private void note(Throwable failure) {
+        boolean before = failing;
+        failing = failure != null;
+        if (failing && !before) {
+            LogEvent.of("host_list_unavailable")
+                    .with(
+                            "reason",
+                            RefusalException.refusalOf(failure, Verdict.NOT_RUN)
+                                    .reason()
+                                    .label())
+                    .warn();
+        } else if (before && !failing) {
+            LogEvent.of("host_list_available").info();
+        }
+    }
+}
