Checked settings, the command line's frame and INI files with line numbers

Cause: daemons need typed settings, and an operator needs every mistake in a file named by file, line and key in one run.

Ruled out: ini4j's bean mapping and Ini class, which drop line numbers and merge repeated keys silently. Its streaming parser stays; a reader that hands out one line a read tells the line of each entry.

Change: core.ini (IniDocument, IniProblem), a settings schema from which loader, errors and docs/SETTINGS.md are derived, JOpt Simple subcommands entry, sidecar and settings with exit codes 0, 1 and 2. The daemons are wired in once they land; until then entry and sidecar only check.

Seen to fail: unknown keys let through (shouldReportEveryProblem...), loopback check off (shouldRefusePlainLinks...), reader without the limit of a line (shouldGiveEachEntryItsLine...), page without descriptions (SettingsPageTest). 27 daemon, 8 core and 15 transport tests pass.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Console.java
@@ -0,0 +1,19 @@
+package org.geraniumford.daemon.command;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.PrintStream;
+
+/**
+ * Where a command writes.
+ *
+ * @param out receives results
+ * @param err receives errors and progress
+ */
+public record Console(PrintStream out, PrintStream err) {
+    /** Checks the components. */
+    public Console {
+        requireNonNull(out, "out is null");
+        requireNonNull(err, "err is null");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.geraniumford.daemon.command;
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/LinkSecurity.java
@@ -0,0 +1,35 @@
+package org.geraniumford.daemon.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import java.nio.file.Path;
+
+/**
+ * How links are authenticated and encrypted.
+ *
+ * @param insecure whether links are plain TCP; allowed on loopback addresses only
+ * @param certificate the PEM file of this process's certificate chain; empty if insecure
+ * @param privateKey the PEM file of the PKCS #8 private key; empty if insecure
+ * @param authorities the PEM file of the certificates that sign the peers' certificates; empty if insecure
+ */
+public record LinkSecurity(boolean insecure, Path certificate, Path privateKey, Path authorities) {
+    private static final Path NO_FILE = Path.of("");
+
+    /** Checks the components. */
+    public LinkSecurity {
+        requireNonNull(certificate, "certificate is null");
+        requireNonNull(privateKey, "privateKey is null");
+        requireNonNull(authorities, "authorities is null");
+    }
+
+    // -- construction
+
+    /**
+     * Returns plain TCP.
+     *
+     * @return links without authentication, for loopback addresses only
+     */
+    public static LinkSecurity none() {
+        return new LinkSecurity(true, NO_FILE, NO_FILE, NO_FILE);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingType.java
@@ -0,0 +1,208 @@
+package org.geraniumford.daemon.settings;
+
+import static java.util.Objects.requireNonNull;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.UnknownHostException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * What values a setting takes.
+ *
+ * @param <T> the type of the value
+ * @param unit the unit; empty if the value has none
+ * @param allowed the values allowed, for a person
+ * @param parser turns text into a value, and throws {@link IllegalArgumentException} if it is not allowed
+ */
+public record SettingType<T>(String unit, String allowed, Function<String, T> parser) {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+    private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+    private static final String IPV4 = OCTET + "(?:\\." + OCTET + "){3}";
+    private static final String IPV6 = "\\[[0-9A-Fa-f:.]+]";
+    private static final Pattern IP_PORT = Pattern.compile("(" + IPV4 + "|" + IPV6 + "):(\\d{1,5})");
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the components. */
+    public SettingType {
+        requireNonNull(unit, "unit is null");
+        requireNonNull(allowed, "allowed is null");
+        requireNonNull(parser, "parser is null");
+    }
+
+    // -- construction
+
+    /**
+     * Returns the type of names of processes, hosts, failure domains and services.
+     *
+     * @return 1 to 63 letters, digits, dots, hyphens and underscores
+     */
+    public static SettingType<String> name() {
+        return new SettingType<>("", "1 to 63 letters, digits, '.', '-' or '_', a letter or digit first", text -> {
+            require(NAME.matcher(text).matches());
+            return text;
+        });
+    }
+
+    /**
+     * Returns the type of names that may be left empty.
+     *
+     * @return the empty text or a {@link #name}
+     */
+    public static SettingType<String> optionalName() {
+        SettingType<String> name = name();
+        return new SettingType<>(
+                "",
+                "empty, or " + name.allowed(),
+                text -> text.isEmpty() ? text : name.parser().apply(text));
+    }
+
+    /**
+     * Returns the type of socket addresses.
+     *
+     * @return an IP number and a port; host names are not looked up
+     */
+    public static SettingType<InetSocketAddress> address() {
+        return new SettingType<>("", "IP:PORT, port 0 to 65535 (0: any free port)", SettingType::parseAddress);
+    }
+
+    /**
+     * Returns the type of lists of socket addresses.
+     *
+     * @return none, one or several, separated by commas
+     */
+    public static SettingType<List<InetSocketAddress>> addresses() {
+        return new SettingType<>(
+                "",
+                "IP:PORT, ... or empty",
+                text -> Arrays.stream(text.split(","))
+                        .map(String::strip)
+                        .filter(part -> !part.isEmpty())
+                        .map(SettingType::parseAddress)
+                        .toList());
+    }
+
+    /**
+     * Returns the type of base addresses of HTTP interfaces.
+     *
+     * @return an absolute http or https URI with a host
+     */
+    public static SettingType<URI> uri() {
+        return new SettingType<>("", "http://HOST:PORT or https://HOST:PORT", text -> {
+            URI uri = URI.create(text);
+            require(("http".equals(uri.getScheme()) || "https".equals(uri.getScheme())) && uri.getHost() != null);
+            return uri;
+        });
+    }
+
+    /**
+     * Returns the type of whole numbers.
+     *
+     * @param unit the unit
+     * @param min the smallest value
+     * @param max the largest value
+     * @return numbers from {@code min} to {@code max}
+     */
+    public static SettingType<Integer> integer(String unit, int min, int max) {
+        return new SettingType<>(unit, min + " to " + max, text -> {
+            int value = Integer.parseInt(text);
+            require(value >= min && value <= max);
+            return value;
+        });
+    }
+
+    /**
+     * Returns the type of durations in milliseconds.
+     *
+     * @param min the shortest, in milliseconds
+     * @param max the longest, in milliseconds
+     * @return durations from {@code min} to {@code max}
+     */
+    public static SettingType<Duration> millis(int min, int max) {
+        SettingType<Integer> number = integer("ms", min, max);
+        return new SettingType<>(
+                number.unit(),
+                number.allowed(),
+                text -> Duration.ofMillis(number.parser().apply(text)));
+    }
+
+    /**
+     * Returns the type of switches.
+     *
+     * @return {@code true} or {@code false}
+     */
+    public static SettingType<Boolean> flag() {
+        return new SettingType<>("", "true or false", text -> {
+            require("true".equals(text) || "false".equals(text));
+            return Boolean.valueOf(text);
+        });
+    }
+
+    /**
+     * Returns the type of choices from an enum.
+     *
+     * @param type the enum
+     * @param <E> the enum's type
+     * @return the constants' names in lower case
+     */
+    public static <E extends Enum<E>> SettingType<E> choice(Class<E> type) {
+        String allowed =
+                Arrays.stream(type.getEnumConstants()).map(SettingType::labelOf).collect(Collectors.joining(", "));
+        return new SettingType<>(
+                "",
+                allowed,
+                text -> Arrays.stream(type.getEnumConstants())
+                        .filter(constant -> labelOf(constant).equals(text))
+                        .findFirst()
+                        .orElseThrow(IllegalArgumentException::new));
+    }
+
+    /**
+     * Returns the type of file names.
+     *
+     * @return a path; the empty one stands for no file
+     */
+    public static SettingType<Path> path() {
+        return new SettingType<>("", "a file's path, or empty", text -> {
+            try {
+                return Path.of(text);
+            } catch (InvalidPathException e) {
+                throw new IllegalArgumentException(e);
+            }
+        });
+    }
+
+    // -- parsing
+
+    private static InetSocketAddress parseAddress(String text) {
+        Matcher matcher = IP_PORT.matcher(text);
+        require(matcher.matches());
+        int port = Integer.parseInt(matcher.group(2));
+        require(port <= MAX_PORT);
+        try {
+            return new InetSocketAddress(InetAddress.getByName(matcher.group(1)), port);
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private static String labelOf(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static void require(boolean allowed) {
+        if (!allowed) {
+            throw new IllegalArgumentException();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsSchema.java
@@ -0,0 +1,79 @@
+package org.geraniumford.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.geraniumford.core.ini.IniDocument;
+import org.geraniumford.core.ini.IniProblem;
+
+/**
+ * All settings of one daemon, and how they become its typed settings.
+ *
+ * @param <S> the typed settings
+ */
+public final class SettingsSchema<S> {
+    /** Turns values without problems into typed settings. */
+    interface Builder<S> {
+        S build(SettingValues values, Path folder);
+    }
+
+    private final String daemon;
+    private final List<Setting<?>> settings;
+    private final Builder<S> builder;
+
+    private SettingsSchema(String daemon, List<Setting<?>> settings, Builder<S> builder) {
+        this.daemon = daemon;
+        this.settings = List.copyOf(settings);
+        this.builder = builder;
+    }
+
+    // -- construction
+
+    static <S> SettingsSchema<S> of(String daemon, List<Setting<?>> own, Builder<S> builder) {
+        List<Setting<?>> all = Stream.of(SharedSettings.head(), own, SharedSettings.tail())
+                .flatMap(List::stream)
+                .toList();
+        return new SettingsSchema<>(daemon, all, builder);
+    }
+
+    // -- queries
+
+    /**
+     * Names the daemon.
+     *
+     * @return the subcommand that starts it
+     */
+    public String daemon() {
+        return daemon;
+    }
+
+    /**
+     * Returns the settings.
+     *
+     * @return every key that the daemon's file may hold
+     */
+    public List<Setting<?>> settings() {
+        return settings;
+    }
+
+    /**
+     * Reads typed settings from a parsed file.
+     *
+     * @param document the parsed file
+     * @param folder where relative file names start
+     * @return the typed settings
+     * @throws SettingsException if anything is wrong; it lists all problems found
+     */
+    public S read(IniDocument document, Path folder) throws SettingsException {
+        SettingValues values = SettingValues.of(document, settings);
+        requireNone(values.problems());
+        requireNone(SharedSettings.problems(values, folder).toList());
+        return builder.build(values, folder);
+    }
+
+    private static void requireNone(List<IniProblem> problems) throws SettingsException {
+        if (!problems.isEmpty()) {
+            throw new SettingsException(problems);
+        }
+    }
+}
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SidecarSettings.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SidecarSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.time.Duration;
 import java.util.List;
 
 /**
@@ -15,6 +16,8 @@
  * @param seeds link addresses of peers to ask at the start
  * @param backend the base address of the backend server on the same host
  * @param service the name of the plain service; empty for a model engine
+ * @param security how links are authenticated and encrypted
+ * @param drainTimeout how long a stop waits for running requests
  */
 public record SidecarSettings(
         String processId,
@@ -24,9 +27,47 @@
         URI platform,
         List<InetSocketAddress> seeds,
         URI backend,
-        String service) {
+        String service,
+        LinkSecurity security,
+        Duration drainTimeout) {
+    static final Duration STANDARD_DRAIN_TIMEOUT = Duration.ofMinutes(5);
+
     /** Copies the list. */
     public SidecarSettings {
         seeds = List.copyOf(seeds);
     }
+
+    /**
+     * Creates settings with plain links and the standard drain timeout.
+     *
+     * @param processId the process's unique name
+     * @param failureDomain the failure domain of its host
+     * @param operatorAddress where operators connect
+     * @param linkAddress where the router's other processes connect
+     * @param platform the platform's base address
+     * @param seeds link addresses of peers to ask at the start
+     * @param backend the base address of the backend server on the same host
+     * @param service the name of the plain service; empty for a model engine
+     */
+    public SidecarSettings(
+            String processId,
+            String failureDomain,
+            InetSocketAddress operatorAddress,
+            InetSocketAddress linkAddress,
+            URI platform,
+            List<InetSocketAddress> seeds,
+            URI backend,
+            String service) {
+        this(
+                processId,
+                failureDomain,
+                operatorAddress,
+                linkAddress,
+                platform,
+                seeds,
+                backend,
+                service,
+                LinkSecurity.none(),
+                STANDARD_DRAIN_TIMEOUT);
+    }
 }
