Entry follows the platform's host list and configuration

EntryDaemon.start(settings) opens the platform client, the host directory and the configuration sync; tests pass an environment of their own.

--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -25,7 +25,6 @@
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.settings.EntrySettings;
-import org.geraniumford.transport.http.HttpLimits;
 import org.geraniumford.transport.http.HttpServer;
 import org.geraniumford.transport.link.LinkIdentity;
 import org.geraniumford.transport.link.LinkListener;
@@ -38,7 +37,8 @@
     private static final long GROUP_STOP_SECONDS = 5;
 
     private final EntrySettings settings;
-    private final EntryEnvironment environment;
+    private final ConfigurationHolder configurations;
+    private final EntryEnvironment.Factory environments;
     private final Closer closer = Closer.empty();
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final EntryMetrics metrics = EntryMetrics.of(registry);
@@ -51,9 +51,11 @@
     private HttpServer callers;
     private LinkListener links;
 
-    private EntryDaemon(EntrySettings settings, EntryEnvironment environment) {
+    private EntryDaemon(
+            EntrySettings settings, ConfigurationHolder configurations, EntryEnvironment.Factory environments) {
         this.settings = settings;
-        this.environment = environment;
+        this.configurations = configurations;
+        this.environments = environments;
     }
 
     // -- construction
@@ -65,20 +67,13 @@
      * @return the running entry, or the failure to start it
      */
     public static CompletableFuture<EntryDaemon> start(EntrySettings settings) {
-        return start(settings, EntryEnvironment.of(ConfigurationHolder.empty()));
+        requireNonNull(settings, "settings is null");
+        return start(settings, ConfigurationHolder.empty(), EntryEnvironment.platform(settings));
     }
 
-    /**
-     * Starts an entry.
-     *
-     * @param settings its settings
-     * @param environment what it takes from the other parts of its process
-     * @return the running entry, or the failure to start it
-     */
-    public static CompletableFuture<EntryDaemon> start(EntrySettings settings, EntryEnvironment environment) {
-        requireNonNull(settings, "settings is null");
-        requireNonNull(environment, "environment is null");
-        EntryDaemon daemon = new EntryDaemon(settings, environment);
+    static CompletableFuture<EntryDaemon> start(
+            EntrySettings settings, ConfigurationHolder configurations, EntryEnvironment.Factory environments) {
+        EntryDaemon daemon = new EntryDaemon(settings, configurations, environments);
         return daemon.open().thenApply(done -> daemon).whenComplete((done, failure) -> {
             if (failure != null) {
                 daemon.close();
@@ -91,21 +86,23 @@
         closer.add(() -> group.shutdownGracefully(0, GROUP_STOP_SECONDS, TimeUnit.SECONDS)
                 .await(GROUP_STOP_SECONDS, TimeUnit.SECONDS));
         LinkNetwork network = LinkNetwork.of(group, identity());
+        EntryEnvironment environment = environments.open(configurations, network, incarnation, closer);
         ModelShards shards = closer.add(ModelShards.start(shardParts(), incarnation));
-        SidecarCalls calls = SidecarCalls.of(peers, settings.failureDomain());
-        EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, calls));
+        SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
+        EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, gateway));
         EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
         closer.add(PeerPool.start(network, targets, peers, receiver));
         CallerService service = new CallerService(
-                environment.configurations(),
+                configurations,
                 RequestIds.of(settings.processId(), incarnation),
                 shards,
-                new IdempotentCalls(calls),
+                environment.calls().apply(gateway),
                 metrics,
                 inFlight);
         return network.listen(settings.linkAddress(), receiver)
                 .thenAccept(listener -> links = closer.add(listener))
-                .thenCompose(done -> HttpServer.start(group, settings.callerAddress(), HttpLimits.standard(), service))
+                .thenCompose(
+                        done -> HttpServer.start(group, settings.callerAddress(), settings.callerLimits(), service))
                 .thenAccept(server -> callers = closer.add(server))
                 .thenRun(this::logStart);
     }
@@ -119,7 +116,7 @@
 
     private LinkIdentity identity() {
         Message.Hello hello = new Message.Hello(settings.processId(), Role.ENTRY, settings.failureDomain(), "");
-        return new LinkIdentity(hello, incarnation, environment.configurations()::version);
+        return new LinkIdentity(hello, incarnation, configurations::version);
     }
 
     private void logStart() {
@@ -158,7 +155,7 @@
      */
     public boolean ready() {
         return !inFlight.draining()
-                && environment.configurations().version() > 0
+                && configurations.version() > 0
                 && peers.all().stream().anyMatch(peer -> peer.state().isPresent());
     }
 
