Entry tests over HTTP with scripted sidecars

Ten cases: whole and streamed answers over HTTP/1.1 and HTTP/2, an idempotent call, a link lost in mid-stream, a refusal, a stream that cannot be resumed, a caller that hangs up, a drain.

--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -12,9 +12,11 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.geraniumford.core.close.Closer;
 import org.geraniumford.core.configuration.ConfigurationHolder;
 import org.geraniumford.core.request.RequestLimits;
@@ -156,7 +158,19 @@
     public boolean ready() {
         return !inFlight.draining()
                 && configurations.version() > 0
-                && peers.all().stream().anyMatch(peer -> peer.state().isPresent());
+                && !connectedHosts().isEmpty();
+    }
+
+    /**
+     * Lists the sidecars that are connected and have named their state.
+     *
+     * @return host names
+     */
+    public Set<String> connectedHosts() {
+        return peers.all().stream()
+                .filter(peer -> peer.state().isPresent())
+                .map(Peer::host)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/EntryDaemonTest.java
@@ -0,0 +1,205 @@
+package org.geraniumford.daemon.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class EntryDaemonTest {
+    private final EntryFixture fixture = EntryFixture.start();
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    // -- answers
+
+    @ParameterizedTest
+    @EnumSource(HttpClient.Version.class)
+    void shouldAnswerWholeWhenNoStreamIsAskedFor(HttpClient.Version version) throws JsonProcessingException {
+        fixture.engine("runner-1");
+        HttpRequest request = HttpRequest.newBuilder(fixture.chat(",\"max_tokens\":3"), (name, value) -> true)
+                .version(version)
+                .build();
+        HttpResponse<String> response = fixture.send(request);
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.headers().firstValue("X-Request-Id")).isPresent();
+        JsonNode body = new ObjectMapper().readTree(response.body());
+        assertThat(body.at("/choices/0/message/content").textValue()).isEqualTo(text(3));
+        assertThat(body.at("/usage/completion_tokens").intValue()).isEqualTo(3);
+        assertThat(body.at("/geraniumford/backend").textValue()).isEqualTo("runner-1");
+        assertThat(body.at("/geraniumford/attempts").intValue()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldStreamEveryTokenInOrderAndEndWithDone() throws JsonProcessingException {
+        fixture.engine("runner-1");
+        HttpResponse<String> response = fixture.send(fixture.chat(",\"max_tokens\":1000,\"stream\":true"));
+        assertThat(streamed(response)).isEqualTo(text(1000));
+        assertThat(response.body()).endsWith("data: [DONE]\n\n");
+    }
+
+    @Test
+    void shouldExplainWhereARequestWentWhenItHasEnded() {
+        fixture.engine("runner-1");
+        HttpResponse<String> response = fixture.send(fixture.chat(",\"max_tokens\":1"));
+        String id = response.headers().firstValue("X-Request-Id").orElseThrow();
+        assertThat(fixture.entry().records().find(id)).hasValueSatisfying(entry -> {
+            assertThat(entry.outcome()).isEqualTo("complete");
+            assertThat(entry.attempts().get(0).choice()).isEqualTo("runner-1");
+        });
+    }
+
+    @Test
+    void shouldPassOnAnIdempotentCallWhenAServiceIsConnected() {
+        fixture.service("service-1", "ballots");
+        HttpResponse<String> response =
+                fixture.send(fixture.request("/services/ballots/status/7?a=b").build());
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).isEqualTo("GET /status/7?a=b");
+    }
+
+    // -- failures
+
+    @Test
+    void shouldResumeElsewhereWhenALinkIsLostInMidStream() throws JsonProcessingException {
+        FakeSidecar first = fixture.engine("runner-1");
+        CompletableFuture<Void> sent = new CompletableFuture<>();
+        first.behave((link, message) -> {
+            if (message instanceof Message.Submit submit) {
+                FakeSidecar.start(link, submit);
+                FakeSidecar.tokens(link, submit, 0, 40);
+                sent.complete(null);
+            }
+        });
+        CompletableFuture<HttpResponse<String>> response =
+                fixture.sendAsync(fixture.chat(",\"max_tokens\":100,\"stream\":true"));
+        sent.join();
+        fixture.engine("runner-2");
+        first.close();
+        assertThat(streamed(response.orTimeout(30, TimeUnit.SECONDS).join())).isEqualTo(text(100));
+    }
+
+    @Test
+    void shouldTryElsewhereWhenASidecarRefuses() {
+        FakeSidecar first = fixture.engine("runner-1");
+        FakeSidecar second = fixture.engine("runner-2");
+        first.behave((link, message) -> refuseOr(second, link, message));
+        second.behave((link, message) -> refuseOr(first, link, message));
+        HttpResponse<String> response = fixture.send(fixture.chat(",\"max_tokens\":3"));
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(response.body()).contains("\"attempts\":2");
+    }
+
+    @Test
+    void shouldEndAStreamWithAnErrorEventWhenItCannotBeResumed() {
+        FakeSidecar only = fixture.engine("runner-1");
+        only.behave((link, message) -> {
+            if (message instanceof Message.Submit submit) {
+                FakeSidecar.start(link, submit);
+                FakeSidecar.tokens(link, submit, submit.resumeOffset(), submit.resumeOffset() + 1);
+                link.send(new Message.Chunk(submit.id(), submit.resumeOffset() + 9, java.util.List.of("gap")));
+            }
+        });
+        String body = fixture.send(fixture.chat(",\"max_tokens\":100,\"stream\":true"))
+                .body();
+        assertThat(body).contains("\"reason\":\"stream_broken\"").contains("\"verdict\":\"ran\"");
+        assertThat(body).doesNotContain("[DONE]").doesNotContain("gap");
+    }
+
+    @Test
+    void shouldCancelAtOnceWhenTheCallerHangsUp() {
+        FakeSidecar only = fixture.engine("runner-1");
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        only.behave((link, message) -> {
+            if (message instanceof Message.Submit submit) {
+                FakeSidecar.start(link, submit);
+                begun.complete(null);
+            }
+        });
+        CompletableFuture<HttpResponse<String>> response = fixture.sendAsync(fixture.chat(",\"stream\":true"));
+        begun.join();
+        response.cancel(true);
+        EntryFixture.await(() -> only.got(Message.Cancel.class));
+        EntryFixture.await(() -> fixture.refusals("caller_gone") == 1);
+    }
+
+    // -- stop
+
+    @Test
+    void shouldFinishEveryStreamAndRefuseNewRequestsWhenDraining() throws JsonProcessingException {
+        FakeSidecar only = fixture.engine("runner-1");
+        CompletableFuture<Runnable> rest = new CompletableFuture<>();
+        only.behave((link, message) -> {
+            if (message instanceof Message.Submit submit) {
+                FakeSidecar.start(link, submit);
+                FakeSidecar.tokens(link, submit, 0, 5);
+                rest.complete(() -> finish(link, submit));
+            }
+        });
+        CompletableFuture<HttpResponse<String>> running =
+                fixture.sendAsync(fixture.chat(",\"max_tokens\":2000,\"stream\":true"));
+        Runnable finish = rest.join();
+        CompletableFuture<Void> drained = fixture.entry().drain();
+        assertThat(fixture.entry().ready()).isFalse();
+        HttpResponse<String> refused = fixture.send(fixture.chat(""));
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.body()).contains("shutting_down").contains("not_run");
+        assertThat(drained).isNotDone();
+        finish.run();
+        assertThat(streamed(running.orTimeout(30, TimeUnit.SECONDS).join())).isEqualTo(text(2000));
+        drained.orTimeout(30, TimeUnit.SECONDS).join();
+    }
+
+    // -- support
+
+    private static void finish(Link link, Message.Submit submit) {
+        FakeSidecar.tokens(link, submit, 5, 2000);
+        link.send(new Message.End(submit.id(), 2000, "length", 10, 0));
+    }
+
+    /** Refuses the first submit of the request, whichever sidecar gets it. */
+    private static void refuseOr(FakeSidecar other, Link link, Message message) {
+        if (message instanceof Message.Submit submit && submit.id().attempt() == 1) {
+            link.send(new Message.Refused(submit.id(), Refusal.notRun(Reason.QUEUE_FULL, "full")));
+        } else {
+            assertThat(other.got(Message.Submit.class) || !(message instanceof Message.Submit))
+                    .isTrue();
+            FakeSidecar.answer(link, message);
+        }
+    }
+
+    private static String text(int tokens) {
+        return IntStream.range(0, tokens).mapToObj(offset -> "t" + offset + " ").collect(Collectors.joining());
+    }
+
+    private static String streamed(HttpResponse<String> response) throws JsonProcessingException {
+        ObjectMapper mapper = new ObjectMapper();
+        StringBuilder text = new StringBuilder();
+        for (String line : response.body().lines().toList()) {
+            if (line.startsWith("data: {")) {
+                text.append(mapper.readTree(line.substring("data: ".length()))
+                        .at("/choices/0/delta/content")
+                        .asText(""));
+            }
+        }
+        return text.toString();
+    }
+}
