--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/request/Fault.java
@@ -0,0 +1,127 @@
+package org.geraniumford.core.request;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Message;
+
+/** What may go wrong with an attempt, and what arrives then. */
+enum Fault {
+    PROBE_LOST {
+        @Override
+        boolean appliesAt(Step step) {
+            return step == Step.PROBE;
+        }
+    },
+    SUBMIT_NOT_WRITTEN {
+        @Override
+        boolean appliesAt(Step step) {
+            return step == Step.SUBMIT;
+        }
+    },
+    ENGINE_RESTARTED {
+        @Override
+        boolean appliesAt(Step step) {
+            return step == Step.SUBMIT;
+        }
+
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            Refusal refusal = Refusal.notRun(Reason.STALE_INCARNATION, "");
+            return List.of(new Message.Refused(id, refusal));
+        }
+    },
+    LINK_LOST,
+    BROKEN_FRAME,
+    FROZEN,
+    FROZEN_THEN_RESUMED,
+    REFUSED {
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            Refusal refusal = Refusal.of(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, "");
+            return Stream.concat(frames.subList(0, at).stream(), Stream.of(new Message.Refused(id, refusal)))
+                    .toList();
+        }
+    },
+    WRONG_WEIGHTS {
+        @Override
+        boolean appliesAt(Step step) {
+            return step == Step.ADMIT;
+        }
+
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            Message wrong = new Message.Started(id, 1, "w0", 0);
+            return Stream.concat(Stream.of(wrong), frames.stream().skip(1)).toList();
+        }
+    },
+    FRAME_MISSING {
+        @Override
+        boolean appliesAt(Step step) {
+            return step.compareTo(Step.ADMIT) >= 0;
+        }
+
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            return Stream.concat(frames.subList(0, at).stream(), frames.subList(at + 1, frames.size()).stream())
+                    .toList();
+        }
+    },
+    FRAMES_DOUBLED {
+        @Override
+        boolean appliesAt(Step step) {
+            return step.compareTo(Step.ADMIT) >= 0;
+        }
+
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            return Stream.of(
+                            frames.subList(0, at + 1), frames.subList(0, at + 1), frames.subList(at + 1, frames.size()))
+                    .flatMap(List::stream)
+                    .toList();
+        }
+    },
+    CROSSED_WITH_ANOTHER {
+        @Override
+        boolean appliesAt(Step step) {
+            return step.compareTo(Step.ADMIT) >= 0;
+        }
+
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            AttemptId other = new AttemptId("other", id.attempt());
+            Stream<Message> crossed = Stream.of(
+                    new Message.Started(other, 1, "w0", 0),
+                    new Message.Chunk(other, 0, List.of("wrong")),
+                    new Message.End(other, 1, "stop", 1, 0),
+                    new Message.Refused(other, Refusal.notRun(Reason.QUEUE_FULL, "")));
+            return Stream.of(frames.subList(0, at).stream(), crossed, frames.subList(at, frames.size()).stream())
+                    .flatMap(part -> part)
+                    .toList();
+        }
+    },
+    ENDED_EARLY {
+        @Override
+        boolean appliesAt(Step step) {
+            return step == Step.MID_STREAM;
+        }
+
+        @Override
+        List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+            return Stream.concat(frames.subList(0, at).stream(), Stream.of(frames.get(frames.size() - 1)))
+                    .toList();
+        }
+    };
+
+    boolean appliesAt(Step step) {
+        return step.compareTo(Step.SUBMIT) >= 0;
+    }
+
+    /** Returns what arrives in place of the frames of a healthy attempt. */
+    List<Message> arrives(List<Message> frames, int at, AttemptId id) {
+        return frames.subList(0, at);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
@@ -0,0 +1,111 @@
+package org.geraniumford.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Stream;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class RetryPolicyTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final RetryPolicy POLICY = RetryPolicy.standard();
+
+    /** Another host cannot cure what is wrong with the request, the customer, the caller or this entry. */
+    private static final Set<Reason> FINAL = EnumSet.of(
+            Reason.MALFORMED_REQUEST,
+            Reason.IDEMPOTENCY_KEY_MISSING,
+            Reason.UNAUTHENTICATED,
+            Reason.FORBIDDEN,
+            Reason.UNKNOWN_MODEL,
+            Reason.UNKNOWN_SERVICE,
+            Reason.UNKNOWN_PATH,
+            Reason.METHOD_NOT_ALLOWED,
+            Reason.IDEMPOTENCY_CONFLICT,
+            Reason.CALL_IN_PROGRESS,
+            Reason.BODY_TOO_LARGE,
+            Reason.HEADER_TOO_LARGE,
+            Reason.REQUEST_RATE_LIMITED,
+            Reason.TOKEN_RATE_LIMITED,
+            Reason.STREAMS_LIMITED,
+            Reason.DEADLINE_PASSED,
+            Reason.NO_CONFIGURATION,
+            Reason.STORE_UNAVAILABLE,
+            Reason.RETRY_BUDGET_SPENT,
+            Reason.TOKEN_USED,
+            Reason.CALLER_GONE,
+            Reason.SLOW_READER,
+            Reason.INTERNAL);
+
+    static Stream<Arguments> failures() {
+        return Stream.of(Reason.values())
+                .flatMap(reason -> Stream.of(Verdict.values())
+                        .flatMap(verdict ->
+                                Stream.of(true, false).map(idempotent -> Arguments.of(reason, verdict, idempotent))));
+    }
+
+    // -- decisions
+
+    @ParameterizedTest
+    @MethodSource("failures")
+    void shouldRetryOnlyWhatAnotherHostCuresAndMayRunAgain(Reason reason, Verdict verdict, boolean idempotent) {
+        Refusal refusal = Refusal.of(reason, verdict, "");
+        boolean expected = !FINAL.contains(reason) && (idempotent || verdict == Verdict.NOT_RUN);
+        assertThat(POLICY.decide(refusal, idempotent, 1, true))
+                .isEqualTo(expected ? RetryDecision.RETRY : RetryDecision.FINAL);
+        assertThat(POLICY.decide(refusal, idempotent, 1, false))
+                .isEqualTo(expected ? RetryDecision.BUDGET_SPENT : RetryDecision.FINAL);
+        assertThat(POLICY.decide(refusal, idempotent, POLICY.maxAttempts(), true))
+                .isEqualTo(RetryDecision.FINAL);
+    }
+
+    @Test
+    void shouldKeepTheWaitWithinItsBoundsWhateverTheAttempt() {
+        SplittableRandom random = new SplittableRandom(7);
+        for (int attempt = 1; attempt < 100; attempt++) {
+            long wait = POLICY.backoffNanos(attempt, random.nextDouble());
+            assertThat(wait).isBetween(0L, POLICY.maxNanos());
+        }
+        assertThat(POLICY.backoffNanos(3, 0)).isZero();
+    }
+
+    // -- the budget
+
+    @Test
+    void shouldBoundRetriesToAShareOfTheRequestsWhenEveryRequestFails() {
+        RetryBudget budget = RetryBudget.start(0);
+        int requests = 10_000;
+        int retries = 0;
+        for (int request = 0; request < requests; request++) {
+            long now = request * SECOND / 1000;
+            budget = budget.request(now);
+            while (budget.available(now)) {
+                budget = budget.spend(now);
+                retries++;
+            }
+        }
+        double seconds = requests / 1000.0;
+        assertThat(retries)
+                .isLessThanOrEqualTo((int) (requests * RetryBudget.PER_REQUEST + seconds + RetryBudget.MAX_CREDIT));
+    }
+
+    @Test
+    void shouldAllowARetryAgainWhenTimeHasPassed() {
+        RetryBudget budget = RetryBudget.start(0);
+        while (budget.available(0)) {
+            budget = budget.spend(0);
+        }
+        RetryBudget empty = budget;
+        assertThatThrownBy(() -> empty.spend(0)).isInstanceOf(IllegalStateException.class);
+        assertThat(empty.available(2 * SECOND)).isTrue();
+        assertThat(empty.available(-SECOND)).isFalse();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/routing/RoutingPolicyTest.java
@@ -0,0 +1,194 @@
+package org.geraniumford.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.geraniumford.core.prefix.CacheScope;
+import org.geraniumford.core.prefix.PrefixChain;
+import org.geraniumford.core.wire.Message;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class RoutingPolicyTest {
+    private static final CostModel COSTS = CostModel.standard();
+    private static final int PIECE_TOKENS = 1000;
+    private static final String LEVEL = "x".repeat(4 * PIECE_TOKENS);
+
+    // -- candidates
+
+    @Test
+    void shouldAgreeOnTheFirstHostWhenPromptsShareAllLevelsButTheLast() {
+        List<Backend> backends = backends(600, 0);
+        Set<String> heads = IntStream.range(0, 50)
+                .mapToObj(question -> query("club", "question " + question, question))
+                .map(query -> RoutingPolicy.PROBE.candidates(query, backends, COSTS))
+                .map(candidates -> candidates.get(0).backend().host())
+                .collect(Collectors.toSet());
+        assertThat(heads).hasSize(1);
+    }
+
+    @Test
+    void shouldMoveFewPrefixesWhenAHostLeaves() {
+        List<Backend> before = backends(20, 0);
+        List<Backend> after = before.subList(0, 19);
+        long moved = IntStream.range(0, 1000)
+                .filter(club -> {
+                    RouteQuery query = query("club-" + club, "question", 1);
+                    return !first(query, before).equals(first(query, after));
+                })
+                .count();
+        assertThat(moved).isLessThan(2L * 1000 / 20);
+    }
+
+    @Test
+    void shouldWidenTheCandidatesWhenTheFirstHostIsBusyAndNarrowThemAgain() {
+        RouteQuery query = query("club", "question", 1);
+        long calm = prefixHosts(query, backends(20, 0));
+        long busy = prefixHosts(query, backends(20, 3 * COSTS.saturatedMicros()));
+        assertThat(calm).isZero();
+        assertThat(busy).isEqualTo(2);
+    }
+
+    @ParameterizedTest
+    @EnumSource(RoutingPolicy.class)
+    void shouldOfferOnlyGivenHostsAndEachOnce(RoutingPolicy policy) {
+        List<Backend> backends = backends(3, 0);
+        for (long salt = -50; salt < 50; salt++) {
+            List<Candidate> candidates = policy.candidates(query("club", "question", salt), backends, COSTS);
+            assertThat(candidates).isNotEmpty().hasSizeLessThanOrEqualTo(RoutingPolicy.MAX_CANDIDATES);
+            assertThat(candidates)
+                    .extracting(Candidate::backend)
+                    .doesNotHaveDuplicates()
+                    .isSubsetOf(backends);
+        }
+        assertThat(policy.candidates(query("club", "question", 1), List.of(), COSTS))
+                .isEmpty();
+    }
+
+    @Test
+    void shouldServeOnlyEnginesThatAreUpAndStayWithTheRightWeights() {
+        Backend good = new Backend("a", "d", "v1", "w1", 1, false, 0);
+        Fleet fleet = Fleet.ofAll(List.of(
+                good,
+                new Backend("down", "d", "v1", "w1", 0, false, 0),
+                new Backend("leaving", "d", "v1", "w1", 1, true, 0),
+                new Backend("older", "d", "v1", "w0", 1, false, 0),
+                new Backend("other", "d", "v2", "w1", 1, false, 0)));
+        assertThat(fleet.serving("v1", "w1")).containsExactly(good);
+    }
+
+    // -- hints
+
+    @Test
+    void shouldForgetAHintWhenItsEngineHasRestarted() {
+        HintCache hints = HintCache.ofCapacity(100);
+        RouteQuery query = query("club", "question", 1);
+        hints.served(query, "h00", 1);
+        assertThat(hints.longest(query.pieces(), Fleet.ofAll(backends(1, 0)))).isPresent();
+        Backend restarted = new Backend("h00", "d", "v1", "w1", 2, false, 0);
+        assertThat(hints.longest(query.pieces(), Fleet.ofAll(List.of(restarted))))
+                .isEmpty();
+    }
+
+    @Test
+    void shouldStayWithinTheCapacityWhenManyPrefixesAreServed() {
+        HintCache hints = HintCache.ofCapacity(100);
+        IntStream.range(0, 1000).forEach(club -> hints.served(query("club-" + club, "q", 1), "h00", 1));
+        assertThat(hints.size()).isEqualTo(100);
+    }
+
+    // -- choice
+
+    @Test
+    void shouldChooseTheHostThatHoldsMoreUnlessItsWaitCostsMore() {
+        assertThat(choice(answer(2, 2, 0), answer(0, 0, 0))).isEqualTo("h00");
+        assertThat(choice(answer(2, 2, 100_000), answer(0, 0, 0))).isEqualTo("h00");
+        assertThat(choice(answer(2, 2, 400_000), answer(0, 0, 0))).isEqualTo("h01");
+    }
+
+    @Test
+    void shouldCopyAPrefixOnlyWhenItsHolderIsSaturated() {
+        CostModel patient = new CostModel(50, 0, 0, 1, 150_001);
+        CostModel hasty = new CostModel(50, 0, 0, 1, 150_000);
+        Map<String, Message.ProbeAnswer> answers = Map.of("h00", answer(2, 2, 150_000), "h01", answer(0, 0, 0));
+        assertThat(choice(patient, answers)).isEqualTo("h00");
+        assertThat(choice(hasty, answers)).isEqualTo("h01");
+    }
+
+    @Test
+    void shouldCountAPieceThatIsBeingComputedAsAlmostCached() {
+        assertThat(choice(answer(0, 2, 0), answer(0, 0, 0))).isEqualTo("h00");
+        assertThat(choice(answer(0, 2, 0), answer(2, 2, 0))).isEqualTo("h01");
+    }
+
+    @Test
+    void shouldPassOverAHostThatAnsweredThatItIsLeavingOrDown() {
+        assertThat(choice(new Message.ProbeAnswer(1, 3, 3, 0, 1, true), answer(0, 0, 0)))
+                .isEqualTo("h01");
+        assertThat(choice(new Message.ProbeAnswer(1, 3, 3, 0, 0, false), answer(0, 0, 0)))
+                .isEqualTo("h01");
+    }
+
+    @Test
+    void shouldStillOfferAHostWhoseAnswerWasLost() {
+        RouteQuery query = query("club", "question", 1);
+        List<Offer> offers = new Chooser(COSTS).offers(query, candidates(), Map.of(), Set.of("h00", "h01"));
+        assertThat(offers).hasSize(2).allMatch(offer -> offer.known() == Offer.Known.LOST);
+    }
+
+    // -- support
+
+    private static String choice(Message.ProbeAnswer first, Message.ProbeAnswer second) {
+        return choice(COSTS, Map.of("h00", first, "h01", second));
+    }
+
+    private static String choice(CostModel costs, Map<String, Message.ProbeAnswer> answers) {
+        RouteQuery query = query("club", "question", 1);
+        return new Chooser(costs)
+                .offers(query, candidates(), answers, answers.keySet())
+                .get(0)
+                .host();
+    }
+
+    private static Message.ProbeAnswer answer(int cached, int pending, long wait) {
+        return new Message.ProbeAnswer(1, cached, pending, wait, 1, false);
+    }
+
+    private static List<Candidate> candidates() {
+        return backends(2, 0).stream()
+                .map(backend -> new Candidate(backend, Candidate.Source.PREFIX))
+                .toList();
+    }
+
+    private static String first(RouteQuery query, List<Backend> backends) {
+        return RoutingPolicy.RENDEZVOUS
+                .candidates(query, backends, COSTS)
+                .get(0)
+                .backend()
+                .host();
+    }
+
+    private static long prefixHosts(RouteQuery query, List<Backend> backends) {
+        return RoutingPolicy.PROBE.candidates(query, backends, COSTS).stream()
+                .filter(candidate -> candidate.source() == Candidate.Source.REPLICA)
+                .count();
+    }
+
+    private static List<Backend> backends(int count, long wait) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> new Backend(String.format("h%02d", index), "d", "v1", "w1", 1, false, wait))
+                .toList();
+    }
+
+    private static RouteQuery query(String customer, String question, long salt) {
+        CacheScope scope = new CacheScope(customer, "w1", "");
+        PrefixChain chain = PrefixChain.of(scope, List.of(LEVEL, LEVEL + "y", question), PIECE_TOKENS);
+        return new RouteQuery("v1", "w1", "d", chain.pieces(), chain.levelEnds(), Optional.empty(), Set.of(), salt);
+    }
+}
