--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/demo/Demo.java
@@ -0,0 +1,170 @@
+package org.geraniumford.trials.demo;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.geraniumford.trials.caller.Caller;
+import org.geraniumford.trials.caller.ModelAnswer;
+import org.geraniumford.trials.deployment.Deployment;
+import org.geraniumford.trials.deployment.SmallDeployment;
+
+/** Runs the main job on a small deployment and checks it. */
+public final class Demo {
+    private static final int ANSWER_TOKENS = 24;
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+    private static final int UNAUTHORIZED = 401;
+    private static final String HOUSE = DemoPrompts.house();
+    private static final String ROLL = DemoPrompts.roll();
+
+    private final Deployment deployment;
+    private final Report report;
+
+    private Demo(Deployment deployment, Report report) {
+        this.deployment = deployment;
+        this.report = report;
+    }
+
+    // -- commands
+
+    /**
+     * Runs the demo.
+     *
+     * @param args {@code --keep} to leave the deployment running, and the configuration folder
+     * @throws IOException if the folder for settings and logs cannot be made
+     */
+    public static void main(String[] args) throws IOException {
+        PrintWriter out = new PrintWriter(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.UTF_8);
+        boolean keep = Arrays.asList(args).contains("--keep");
+        Path folder = Files.createTempDirectory("geraniumford-demo");
+        Report report = new Report(out);
+        report.step("Starting platform, engines, services, sidecars and entries (logs in " + folder + ")");
+        try (Deployment deployment = Deployment.start(SmallDeployment.plan(Path.of(args[0])), folder)) {
+            deployment.nodes().forEach(node -> report.line(node.name()));
+            new Demo(deployment, report).run();
+            if (keep) {
+                keep(deployment, out);
+            }
+            report.step("Stopping in order");
+            report.check("every process stopped in order", deployment.stop().isEmpty());
+        }
+        out.println(report.allHeld() ? "\ndemo: every check held" : "\ndemo: a check FAILED");
+        System.exit(report.allHeld() ? 0 : 1);
+    }
+
+    private void run() {
+        sharedPrefixes();
+        otherCustomer();
+        engineLost();
+        ballots();
+        refusals();
+    }
+
+    // -- steps
+
+    private void sharedPrefixes() {
+        report.step("Two questions on the same roll (house preamble, roll, question)");
+        Caller amahoro = caller(0, "amahoro");
+        ModelAnswer first = ask(amahoro, "amahoro, first question", "Who joined in March?");
+        ModelAnswer second = ask(amahoro, "amahoro, second question", "Who moved to Huye?");
+        ModelAnswer third = ask(caller(1, "amahoro"), "amahoro, by the other entry", "Who is in arrears?");
+        report.check("answers are whole", first.complete() && second.complete() && third.complete());
+        report.check("the first question computes its prefix", first.cachedPieces() == 0);
+        report.check(
+                "the second question reuses the shared prefix",
+                second.cachedPieces() >= second.pieces() - 1 && second.cachedPieces() > 0);
+        report.check("the other entry finds it too", third.cachedPieces() == second.cachedPieces());
+    }
+
+    private void otherCustomer() {
+        report.step("Another customer with the identical prompt");
+        ModelAnswer other = ask(caller(0, "rayon"), "rayon, first question", "Who joined in March?");
+        report.check("its answer is whole", other.complete());
+        report.check("it reuses nothing of amahoro's", other.cachedPieces() == 0);
+    }
+
+    private void engineLost() {
+        report.step("The runner that holds the prefix is killed, engine and sidecar");
+        Caller amahoro = caller(0, "amahoro");
+        String holder = ask(amahoro, "amahoro, before", "Who moved to Huye?").backend();
+        deployment.engine(holder).kill();
+        deployment.node(holder).kill();
+        ModelAnswer after = ask(amahoro, "amahoro, after", "Who moved to Huye?");
+        report.check(
+                "the answer is whole and comes from another runner",
+                after.complete() && !after.backend().equals(holder));
+    }
+
+    private void ballots() {
+        report.step("A ballot sent twice with the same idempotency key");
+        Caller bole = caller(0, "bole");
+        String ballot = "{\"id\":\"ballot-7\",\"choice\":\"water point\"}";
+        HttpResponse<String> sent = call(bole, "POST", "/ballots", "resident-7", ballot);
+        HttpResponse<String> again = call(bole, "POST", "/ballots", "resident-7", ballot);
+        HttpResponse<String> other = call(bole, "POST", "/ballots", "resident-7", ballot.replace("water", "clinic"));
+        HttpResponse<String> status = call(bole, "GET", "/status/ballot-7", "", "");
+        HttpResponse<String> executions = call(bole, "GET", "/executions", "", "");
+        report.line("executions " + executions.body());
+        report.check("both callers get the first answer", sent.body().equals(again.body()));
+        report.check("both were answered with success", sent.statusCode() < 300 && again.statusCode() < 300);
+        report.check("the same key with another body is a conflict", other.statusCode() == CONFLICT);
+        report.check("its status is read freely", status.statusCode() == OK);
+        report.check("it ran once", executions.body().replace(" ", "").contains("\"ballot-7\":1"));
+    }
+
+    private void refusals() {
+        report.step("A caller without a valid key");
+        ModelAnswer refused = ask(caller(0, "nobody"), "nobody", "Who joined in March?");
+        report.check(
+                "it is refused as not run",
+                refused.status() == UNAUTHORIZED && refused.verdict().equals("not_run"));
+    }
+
+    // -- support
+
+    private ModelAnswer ask(Caller caller, String label, String question) {
+        ModelAnswer answer = caller.stream("draft", List.of(HOUSE, ROLL, question), ANSWER_TOKENS)
+                .join();
+        report.answer(label, answer);
+        return answer;
+    }
+
+    private static HttpResponse<String> call(Caller caller, String method, String path, String key, String body) {
+        return caller.call("ballots", method, path, key, body).join();
+    }
+
+    private Caller caller(int entry, String customer) {
+        return Caller.of(deployment.entry(entry).address("caller"), "example-key-" + customer);
+    }
+
+    private static void keep(Deployment deployment, PrintWriter out) {
+        String entry = deployment.entry(0).address("caller");
+        String operator = deployment.entry(0).address("operator");
+        out.printf("""
+
+                Running until interrupted. Try:
+                  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer example-key-amahoro' \\
+                    -d '{"model":"draft","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Muraho"}]}'
+                  curl http://%s/status
+                  bin/geraniumford status --process %s
+                """, entry, operator, operator);
+        CountDownLatch interrupted = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            deployment.stop();
+            interrupted.countDown();
+        }));
+        try {
+            interrupted.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
 /** Every process of one deployment, on loopback, with free ports. */
 public final class Deployment implements AutoCloseable {
     private static final String PLATFORM = "platform";
+    private static final int SIGTERM_EXIT = 143;
 
     private final DeploymentPlan plan;
     private final Path folder;
@@ -61,7 +63,12 @@
         for (int i = 0; i < plan.services().size(); i++) {
             startService(plan.services().get(i), i);
         }
-        command("config", "apply", "--platform", platformAddress(), plan.configuration().toString());
+        command(
+                "config",
+                "apply",
+                "--platform",
+                platformAddress(),
+                plan.configuration().toString());
         for (int i = 0; i < plan.entries(); i++) {
             startEntry(i, Listen.free());
         }
@@ -79,7 +86,7 @@
                                 port,
                                 "--model-version",
                                 runner.modelVersion(),
-                                "--weights-digest",
+                                "--weights",
                                 runner.weightsDigest()),
                         runner.engineOptions().stream())
                 .toList();
@@ -234,8 +241,8 @@
      * @throws IOException if it does not start
      */
     public void restartEngine(String runner) throws IOException {
-        String port = engine(runner).address("address").split(":")[1];
-        startEngine(runnerPlan(runner), port);
+        String address = engine(runner).address("address");
+        startEngine(runnerPlan(runner), address.substring(address.indexOf(':') + 1));
     }
 
     /**
@@ -265,7 +272,7 @@
      */
     public List<String> stop() {
         List<Node> reversed = new ArrayList<>(nodes.values());
-        java.util.Collections.reverse(reversed);
+        Collections.reverse(reversed);
         return reversed.stream().filter(node -> !stopped(node)).map(Node::name).toList();
     }
 
@@ -278,8 +285,6 @@
         return exit == 0 || exit == SIGTERM_EXIT;
     }
 
-    private static final int SIGTERM_EXIT = 143;
-
     /** Ends every process at once. */
     @Override
     public void close() {
--- a/trials/src/main/java/org/geraniumford/trials/deployment/Node.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/Node.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /** One process of a deployment. */
 public final class Node implements AutoCloseable {
@@ -104,8 +103,9 @@
 
     private static Map<String, String> pairs(String line) {
         return Arrays.stream(line.split(" "))
-                .flatMap(word -> word.contains("=") ? Stream.of(word.split("=", 2)) : Stream.empty())
-                .collect(Collectors.toUnmodifiableMap(pair -> pair[0], pair -> pair[1]));
+                .filter(word -> word.indexOf('=') > 0)
+                .collect(Collectors.toUnmodifiableMap(
+                        word -> word.substring(0, word.indexOf('=')), word -> word.substring(word.indexOf('=') + 1)));
     }
 
     // -- queries
--- a/trials/src/main/java/org/geraniumford/trials/deployment/PlatformControl.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/PlatformControl.java
@@ -1,13 +1,16 @@
 package org.geraniumford.trials.deployment;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.Map;
 
 /** Controls the platform stand-in: registers hosts and sets faults. */
 public final class PlatformControl {
+    private static final ObjectMapper JSON = new ObjectMapper();
     private static final HttpClient CLIENT = HttpClient.newHttpClient();
 
     private final String address;
@@ -40,13 +43,10 @@
      * @param state {@code live} or {@code leaving}
      * @throws IOException if the platform refuses
      */
-    public void register(String name, String kind, String link, String failureDomain, String state)
-            throws IOException {
-        String body =
-                """
-                {"name":"%s","kind":"%s","address":"%s","failure_domain":"%s","state":"%s"}"""
-                        .formatted(name, kind, link, failureDomain, state);
-        send("PUT", "/hosts/" + name, body);
+    public void register(String name, String kind, String link, String failureDomain, String state) throws IOException {
+        Map<String, String> body =
+                Map.of("name", name, "kind", kind, "address", link, "failure_domain", failureDomain, "state", state);
+        send("PUT", "/hosts/" + name, JSON.writeValueAsString(body));
     }
 
     /**
@@ -66,8 +66,8 @@
         try {
             HttpResponse<String> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
             if (response.statusCode() >= 300) {
-                throw new IOException(method + " " + path + " answered " + response.statusCode() + ": "
-                        + response.body());
+                throw new IOException(
+                        method + " " + path + " answered " + response.statusCode() + ": " + response.body());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/SmallDeployment.java
@@ -0,0 +1,41 @@
+package org.geraniumford.trials.deployment;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** The plan of a deployment of the example configuration that fits a laptop. */
+public final class SmallDeployment {
+    private static final List<String> FAILURE_DOMAINS = List.of("kigali-a", "kigali-b", "kigali-c");
+    private static final String DRAFT_WEIGHTS = "af72250d489ae165bf74a26d181af5117879339ffbb1725e2fb09c82c5cf3441";
+    private static final String CIVIC_WEIGHTS = "e1f49490b8e822d45d3877077ab95d67a503aa68cc9e445f30b19d8b20e39189";
+    private static final int DRAFT_RUNNERS = 3;
+    private static final int ENTRIES = 2;
+
+    private SmallDeployment() {}
+
+    // -- construction
+
+    /**
+     * Plans three runners of the drafting model, one of the civic model, both plain services and two entries.
+     *
+     * @param configuration the example configuration folder
+     * @return the plan
+     */
+    public static DeploymentPlan plan(Path configuration) {
+        Stream<RunnerPlan> draft = IntStream.range(0, DRAFT_RUNNERS)
+                .mapToObj(i -> new RunnerPlan(
+                        "runner-" + (i + 1), FAILURE_DOMAINS.get(i), "draft-1", DRAFT_WEIGHTS, List.of()));
+        Stream<RunnerPlan> civic = Stream.of(
+                new RunnerPlan("runner-" + (DRAFT_RUNNERS + 1), "kigali-a", "civic-1", CIVIC_WEIGHTS, List.of()));
+        return new DeploymentPlan(
+                configuration,
+                Stream.concat(draft, civic).toList(),
+                List.of("ballots", "sends"),
+                ENTRIES,
+                FAILURE_DOMAINS,
+                List.of(),
+                List.of());
+    }
+}
