--- /dev/null
+++ b/stand-ins/src/test/java/org/geraniumford/standins/StandInClient.java
@@ -0,0 +1,89 @@
+package org.geraniumford.standins;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+/** Calls a stand-in as the router would. A connection that is cut gives status {@link #CUT}. */
+public record StandInClient(URI base) {
+    public static final int CUT = 0;
+
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    public Answer call(String method, String path, String body) {
+        HttpRequest request = request(method, path, body);
+        try {
+            HttpResponse<String> response = CLIENT.send(request, BodyHandlers.ofString());
+            return new Answer(response.statusCode(), response.body());
+        } catch (IOException e) {
+            return new Answer(CUT, "");
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public Answer get(String path) {
+        return call("GET", path, "");
+    }
+
+    public Answer post(String path, String body) {
+        return call("POST", path, body);
+    }
+
+    public CompletableFuture<Answer> postLater(String path, String body) {
+        return CLIENT.sendAsync(request("POST", path, body), BodyHandlers.ofString())
+                .thenApply(response -> new Answer(response.statusCode(), response.body()))
+                .exceptionally(failure -> new Answer(CUT, ""));
+    }
+
+    /** Opens a stream of events; closing it hangs up. */
+    public Stream<JsonNode> events(String path) {
+        try {
+            return CLIENT.send(request("GET", path, ""), BodyHandlers.ofLines())
+                    .body()
+                    .filter(line -> !line.isEmpty())
+                    .map(line -> parse(line.substring("data: ".length())));
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private HttpRequest request(String method, String path, String body) {
+        return HttpRequest.newBuilder(base.resolve(path))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private static JsonNode parse(String json) {
+        try {
+            return MAPPER.readTree(json);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(json, e);
+        }
+    }
+
+    /** A status and a body. */
+    public record Answer(int status, String body) {
+        public JsonNode json() {
+            return parse(body);
+        }
+
+        public List<JsonNode> events() {
+            return body.lines()
+                    .filter(line -> !line.isEmpty())
+                    .map(line -> parse(line.substring("data: ".length())))
+                    .toList();
+        }
+    }
+}
