--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/admission/AdmissionQueue.java
@@ -0,0 +1,319 @@
+package org.geraniumford.core.admission;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.geraniumford.core.admission.CustomerQueue.Waiting;
+import org.geraniumford.core.cache.CacheView;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.wire.AttemptId;
+
+/**
+ * The bounded queue in front of one engine. Customers share the engine by weight (start-time fair queueing over the
+ * estimated work); a customer's own requests are served by priority, then arrival. A request whose next piece is being
+ * computed waits behind that prefill. One that cannot get its first token in time is refused on arrival. Time is passed
+ * in as nanoseconds of a monotonic clock. Not thread-safe.
+ */
+public final class AdmissionQueue {
+    private final AdmissionLimits limits;
+    private final Map<String, CustomerQueue> customers = new LinkedHashMap<>();
+    private final Map<AttemptId, Waiting> waiting = new LinkedHashMap<>();
+    private final RunningRequests running = new RunningRequests();
+    private CostModel costs;
+    private double virtualTime;
+    private long waitingBytes;
+    private long arrivals;
+
+    private AdmissionQueue(AdmissionLimits limits, CostModel costs) {
+        this.limits = limits;
+        this.costs = costs;
+    }
+
+    // -- construction
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param limits the bounds
+     * @param costs what is known of the engine
+     * @return a queue in front of an idle engine
+     */
+    public static AdmissionQueue of(AdmissionLimits limits, CostModel costs) {
+        return new AdmissionQueue(requireNonNull(limits, "limits is null"), requireNonNull(costs, "costs is null"));
+    }
+
+    // -- commands: waiting
+
+    /**
+     * Takes a request in or refuses it. A full queue makes room by refusing the last request of the customer with the
+     * most queued work for its share.
+     *
+     * @param request the request
+     * @param view what the engine holds
+     * @param now the present time
+     * @return the refusals decided; none of the request itself if it waits now
+     */
+    public List<AdmissionAction> offer(AdmissionRequest request, CacheView view, long now) {
+        Optional<Refusal> refusal = late(request, view, now);
+        if (refusal.isPresent()) {
+            return List.of(new AdmissionAction.Refuse(request.id(), refusal.get()));
+        }
+        add(request, view);
+        List<AdmissionAction> refused = new ArrayList<>();
+        while (waiting.size() > limits.maxQueued() || waitingBytes > limits.maxQueuedBytes()) {
+            refused.add(pushOut(now));
+        }
+        return refused;
+    }
+
+    /**
+     * Decides which requests the engine gets now.
+     *
+     * @param view what the engine holds
+     * @param now the present time
+     * @return the requests to pass on, in this order
+     */
+    public List<AdmissionAction> start(CacheView view, long now) {
+        List<AdmissionAction> starts = new ArrayList<>();
+        Optional<Waiting> next = next(view);
+        while (next.isPresent()) {
+            starts.add(pass(next.get(), view, now));
+            next = next(view);
+        }
+        customers.values().removeIf(queue -> queue.isEmpty() && queue.startTag() <= virtualTime);
+        return starts;
+    }
+
+    /**
+     * Refuses the requests whose deadline has passed.
+     *
+     * @param now the present time
+     * @return the refusals
+     */
+    public List<AdmissionAction> expire(long now) {
+        Refusal refusal = Refusal.notRun(Reason.DEADLINE_PASSED, "the request waited until its deadline passed")
+                .withRetryAfter(retryAfter(waitNanos(now)));
+        return refuse(waiting.values().stream()
+                .filter(next -> next.request().deadlineNanos() - now < 0)
+                .map(next -> new AdmissionAction.Refuse(next.request().id(), refusal)));
+    }
+
+    /**
+     * Refuses every request that waits.
+     *
+     * @param refusal why
+     * @return the refusals
+     */
+    public List<AdmissionAction> refuseAll(Refusal refusal) {
+        return refuse(waiting.keySet().stream().map(id -> new AdmissionAction.Refuse(id, refusal)));
+    }
+
+    /**
+     * Forgets a request that waits or runs.
+     *
+     * @param id the attempt
+     */
+    public void remove(AttemptId id) {
+        Optional.ofNullable(waiting.get(id)).ifPresent(this::dequeue);
+        running.remove(id);
+    }
+
+    // -- commands: running
+
+    /**
+     * Learns that the engine began a prefill.
+     *
+     * @param id the attempt
+     * @param cachedPieces how many leading pieces it took from its cache
+     * @param now the present time
+     */
+    public void started(AttemptId id, int cachedPieces, long now) {
+        running.started(id, cachedPieces, now);
+    }
+
+    /**
+     * Learns that a prefill ended, from the first answer token.
+     *
+     * @param id the attempt
+     * @param now the present time
+     */
+    public void prefilled(AttemptId id, long now) {
+        running.prefilled(id, now)
+                .filter(run -> run.startedNanos() != 0)
+                .ifPresent(run -> costs = costs.withPrefill(run.missedTokens(), now - run.startedNanos())
+                        .withDelay(run.missedTokens(), (now - run.passedNanos()) / run.sharers()));
+    }
+
+    /**
+     * Learns that an answer is complete.
+     *
+     * @param id the attempt
+     * @param tokens the number of tokens that this attempt gave
+     * @param now the present time
+     */
+    public void ended(AttemptId id, int tokens, long now) {
+        running.remove(id)
+                .filter(run -> !run.inPrefill())
+                .ifPresent(run -> costs = costs.withAnswer(tokens, now - run.prefilledNanos()));
+    }
+
+    // -- queries
+
+    /**
+     * Estimates the wait of a request of a customer that has none waiting.
+     *
+     * @param now the present time
+     * @return nanoseconds until the engine would begin with it
+     */
+    public long waitNanos(long now) {
+        return waitNanos(new CustomerQueue(), 0, now);
+    }
+
+    /**
+     * Returns the short digests of the pieces that are being computed.
+     *
+     * @return the first half of each piece's key
+     */
+    public Set<Long> computedShortDigests() {
+        return running.computedShortDigests();
+    }
+
+    /**
+     * Returns what is known of the engine.
+     *
+     * @return the cost model
+     */
+    public CostModel costs() {
+        return costs;
+    }
+
+    /**
+     * Returns the number of requests that wait.
+     *
+     * @return 0 up to the limit
+     */
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /**
+     * Returns the number of requests that the engine holds.
+     *
+     * @return 0 up to the limit
+     */
+    public int running() {
+        return running.size();
+    }
+
+    // -- deadlines
+
+    private Optional<Refusal> late(AdmissionRequest request, CacheView view, long now) {
+        long left = request.deadlineNanos() - now;
+        if (left <= 0) {
+            return Optional.of(Refusal.notRun(Reason.DEADLINE_PASSED, "the deadline passed before the request came"));
+        }
+        CustomerQueue queue = customers.getOrDefault(request.customer(), new CustomerQueue());
+        long wait = waitNanos(queue, request.priority(), now);
+        long prefill = costs.prefillNanos(request.missedTokens(view.cachedPieces(request.pieces())));
+        long firstToken = prefill < left ? wait + prefill : wait;
+        return firstToken <= left
+                ? Optional.empty()
+                : Optional.of(
+                        Refusal.notRun(Reason.DEADLINE_UNREACHABLE, "the estimated time to the first token is too long")
+                                .withRetryAfter(retryAfter(firstToken - left)));
+    }
+
+    private long waitNanos(CustomerQueue queue, int priority, long now) {
+        double tag = queue.tagOf(priority, virtualTime);
+        double others = customers.values().stream()
+                .filter(other -> other != queue)
+                .mapToDouble(other -> other.nanosBefore(tag))
+                .sum();
+        return running.remainingPrefillNanos(costs, now) + (long) (queue.nanosAhead(priority) + others);
+    }
+
+    private static Duration retryAfter(long nanos) {
+        Duration estimate = Duration.ofNanos(nanos);
+        return estimate.compareTo(Refusal.MIN_RETRY_AFTER) > 0 ? estimate : Refusal.MIN_RETRY_AFTER;
+    }
+
+    // -- the fair order
+
+    private void add(AdmissionRequest request, CacheView view) {
+        long missed = request.missedTokens(view.cachedPieces(request.pieces()));
+        Waiting added = new Waiting(request, arrivals++, cost(request, missed), costs.occupiedNanos(missed));
+        customers
+                .computeIfAbsent(request.customer(), name -> new CustomerQueue())
+                .add(added, virtualTime);
+        waiting.put(request.id(), added);
+        waitingBytes += request.bytes();
+    }
+
+    private double cost(AdmissionRequest request, long missedTokens) {
+        return costs.prefillNanos(missedTokens) + (double) costs.answerNanos(request.maxTokens()) / limits.maxRunning();
+    }
+
+    private Optional<Waiting> next(CacheView view) {
+        if (running.prefills() >= limits.maxPrefills() || running.size() >= limits.maxRunning()) {
+            return Optional.empty();
+        }
+        return customers.values().stream()
+                .sorted(Comparator.comparingDouble(CustomerQueue::startTag))
+                .flatMap(queue -> queue.first(next -> !isComputed(next.request(), view)).stream())
+                .findFirst();
+    }
+
+    private boolean isComputed(AdmissionRequest request, CacheView view) {
+        return request.pieces().stream()
+                .skip(view.cachedPieces(request.pieces()))
+                .findFirst()
+                .filter(piece -> running.computes(piece.key()))
+                .isPresent();
+    }
+
+    private AdmissionAction pass(Waiting next, CacheView view, long now) {
+        AdmissionRequest request = next.request();
+        dequeue(next);
+        CustomerQueue queue = customers.get(request.customer());
+        int cached = view.cachedPieces(request.pieces());
+        virtualTime = Math.max(virtualTime, queue.startTag());
+        queue.charge(cost(request, request.missedTokens(cached)));
+        running.pass(request, cached, now);
+        return new AdmissionAction.Start(request.id());
+    }
+
+    private AdmissionAction pushOut(long now) {
+        Waiting last = customers.values().stream()
+                .filter(queue -> !queue.isEmpty())
+                .max(Comparator.comparingDouble(CustomerQueue::load))
+                .flatMap(CustomerQueue::last)
+                .orElseThrow();
+        dequeue(last);
+        return new AdmissionAction.Refuse(
+                last.request().id(),
+                Refusal.notRun(Reason.QUEUE_FULL, "the sidecar's queue is full")
+                        .withRetryAfter(retryAfter(waitNanos(now))));
+    }
+
+    private List<AdmissionAction> refuse(Stream<AdmissionAction.Refuse> refusals) {
+        List<AdmissionAction> refused =
+                refusals.map(AdmissionAction.class::cast).toList();
+        refused.forEach(action -> dequeue(waiting.get(action.id())));
+        return refused;
+    }
+
+    private void dequeue(Waiting gone) {
+        waiting.remove(gone.request().id());
+        waitingBytes -= gone.request().bytes();
+        customers.get(gone.request().customer()).remove(gone);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/AnswerWindow.java
@@ -0,0 +1,65 @@
+package org.geraniumford.daemon.sidecar;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Message;
+
+/** The part of an answer that the engine has sent and the peer's credit does not cover yet. */
+final class AnswerWindow {
+    private final AttemptId id;
+    private final List<String> unsent = new ArrayList<>();
+    private int sentOffset;
+    private int creditOffset;
+
+    private AnswerWindow(AttemptId id, int offset, int creditOffset) {
+        this.id = id;
+        this.sentOffset = offset;
+        this.creditOffset = creditOffset;
+    }
+
+    // -- construction
+
+    static AnswerWindow of(Message.Submit submit) {
+        return new AnswerWindow(submit.id(), submit.resumeOffset(), submit.resumeOffset() + submit.credit());
+    }
+
+    // -- commands
+
+    /** Takes the next token; returns false if its offset is not the next one. */
+    boolean add(int offset, String token) {
+        if (offset != nextOffset()) {
+            return false;
+        }
+        unsent.add(token);
+        return true;
+    }
+
+    void credit(int upToOffset) {
+        creditOffset = Math.max(creditOffset, upToOffset);
+    }
+
+    /** Takes out what the credit covers. */
+    Optional<Message.Chunk> take() {
+        int count = Math.min(unsent.size(), creditOffset - sentOffset);
+        if (count <= 0) {
+            return Optional.empty();
+        }
+        List<String> covered = unsent.subList(0, count);
+        Message.Chunk chunk = new Message.Chunk(id, sentOffset, covered);
+        covered.clear();
+        sentOffset += count;
+        return Optional.of(chunk);
+    }
+
+    // -- queries
+
+    int nextOffset() {
+        return sentOffset + unsent.size();
+    }
+
+    boolean empty() {
+        return unsent.isEmpty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/BackendState.java
@@ -0,0 +1,43 @@
+package org.geraniumford.daemon.sidecar;
+
+import static java.util.Objects.requireNonNull;
+
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.engine.EngineState;
+
+/**
+ * What a sidecar knows of its backend server.
+ *
+ * @param service the plain service's name; empty for a model engine
+ * @param modelVersion the model version that is served; empty for a plain service
+ * @param weightsDigest the digest of the weights; empty for a plain service
+ * @param incarnation the backend server's incarnation; 0 while it is down
+ */
+record BackendState(String service, String modelVersion, String weightsDigest, long incarnation) {
+    BackendState {
+        requireNonNull(service, "service is null");
+        requireNonNull(modelVersion, "modelVersion is null");
+        requireNonNull(weightsDigest, "weightsDigest is null");
+    }
+
+    // -- construction
+
+    static BackendState down(String service) {
+        return new BackendState(service, "", "", 0);
+    }
+
+    static BackendState of(EngineState state) {
+        return new BackendState("", state.modelVersion(), state.weightsDigest(), state.incarnation());
+    }
+
+    // -- queries
+
+    boolean up() {
+        return incarnation != 0;
+    }
+
+    Message.SidecarState message(boolean leaving, long estimatedWaitMicros) {
+        return new Message.SidecarState(
+                service, modelVersion, weightsDigest, incarnation, leaving, estimatedWaitMicros);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/ModelRequests.java
@@ -0,0 +1,232 @@
+package org.geraniumford.daemon.sidecar;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.geraniumford.core.admission.AdmissionAction;
+import org.geraniumford.core.admission.AdmissionQueue;
+import org.geraniumford.core.cache.CacheEvent;
+import org.geraniumford.core.cache.CacheIndex;
+import org.geraniumford.core.prefix.Piece;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.engine.Engine;
+import org.geraniumford.transport.engine.EngineAnswer;
+import org.geraniumford.transport.log.LogEvent;
+
+/** The model requests at one sidecar: those that wait and those that run. Used on the sidecar's duty only. */
+final class ModelRequests implements AnswerObserver {
+    private final CacheIndex index;
+    private final AdmissionQueue queue;
+    private final SidecarMetrics metrics;
+    private final LongSupplier nanoTime;
+    private final AnswerStreams streams;
+    private final Map<AttemptId, ModelAttempt> waiting = new HashMap<>();
+
+    private ModelRequests(
+            Engine engine,
+            EventRing ring,
+            CacheIndex index,
+            AdmissionQueue queue,
+            SidecarMetrics metrics,
+            LongSupplier nanoTime) {
+        this.index = index;
+        this.queue = queue;
+        this.metrics = metrics;
+        this.nanoTime = nanoTime;
+        this.streams = AnswerStreams.of(engine, ring, this);
+    }
+
+    // -- construction
+
+    static ModelRequests of(
+            Engine engine,
+            EventRing ring,
+            CacheIndex index,
+            AdmissionQueue queue,
+            SidecarMetrics metrics,
+            LongSupplier nanoTime) {
+        return new ModelRequests(engine, ring, index, queue, metrics, nanoTime);
+    }
+
+    // -- commands: the peer's side
+
+    void submit(Peer peer, Message.Submit submit, BackendState backend) {
+        ModelAttempt attempt = ModelAttempt.of(peer, submit);
+        Optional<Refusal> refusal = check(submit, backend);
+        if (refusal.isPresent()) {
+            refused(attempt, refusal.get());
+            return;
+        }
+        waiting.put(attempt.id(), attempt);
+        long now = nanoTime.getAsLong();
+        perform(queue.offer(attempt.admissionRequest(now), index, now));
+        startNext();
+    }
+
+    void credit(Message.Credit credit) {
+        streams.credit(credit);
+    }
+
+    void cancel(AttemptId id) {
+        if (waiting.remove(id) != null) {
+            queue.remove(id);
+        }
+        streams.find(id).ifPresent(streams::stop);
+        startNext();
+    }
+
+    void peerClosed(Peer peer) {
+        List.copyOf(waiting.values()).stream()
+                .filter(attempt -> attempt.peer().equals(peer))
+                .forEach(attempt -> cancel(attempt.id()));
+        streams.all().stream().filter(attempt -> attempt.peer().equals(peer)).forEach(streams::stop);
+        startNext();
+    }
+
+    void probe(Peer peer, Message.Probe probe, BackendState backend, boolean leaving) {
+        boolean sameWeights = backend.up() && probe.weightsDigest().equals(backend.weightsDigest());
+        int cached = sameWeights ? index.matched(probe.shortDigests()) : 0;
+        int pending = sameWeights ? pending(probe.shortDigests(), cached) : 0;
+        peer.send(new Message.ProbeAnswer(
+                probe.id(), cached, pending, estimatedWaitMicros(), backend.incarnation(), leaving));
+    }
+
+    // -- commands: the engine's side
+
+    void answered(ModelAttempt attempt, List<EngineAnswer> answers) {
+        streams.answered(attempt, answers, nanoTime.getAsLong());
+        startNext();
+    }
+
+    void failed(ModelAttempt attempt, Refusal refusal) {
+        streams.failed(attempt, refusal);
+        startNext();
+    }
+
+    void cacheChanged(CacheEvent event) {
+        index.apply(event);
+    }
+
+    /** Refuses what waits, since the engine that it was meant for has changed. */
+    void refuseWaiting(Refusal refusal) {
+        perform(queue.refuseAll(refusal));
+    }
+
+    void tick() {
+        long now = nanoTime.getAsLong();
+        perform(queue.expire(now));
+        streams.checkProgress(now);
+        startNext();
+    }
+
+    // -- commands: what becomes of running attempts
+
+    @Override
+    public void started(ModelAttempt attempt, EngineAnswer.Started started) {
+        int pieces = attempt.submit().pieces().size();
+        index.observe(started.incarnation(), attempt.submit().pieces(), started.cachedPieces());
+        queue.started(attempt.id(), started.cachedPieces(), nanoTime.getAsLong());
+        metrics.pieces(started.cachedPieces(), pieces - started.cachedPieces());
+    }
+
+    @Override
+    public void prefilled(ModelAttempt attempt) {
+        List<Piece> pieces = attempt.submit().pieces();
+        index.observe(index.incarnation(), pieces, pieces.size());
+        queue.prefilled(attempt.id(), nanoTime.getAsLong());
+    }
+
+    @Override
+    public void ended(ModelAttempt attempt) {
+        int tokens = attempt.window().nextOffset() - attempt.submit().resumeOffset();
+        queue.ended(attempt.id(), tokens, nanoTime.getAsLong());
+    }
+
+    @Override
+    public void stopped(ModelAttempt attempt) {
+        queue.remove(attempt.id());
+    }
+
+    @Override
+    public void refused(ModelAttempt attempt, Refusal refusal) {
+        metrics.reasons().refused(refusal.reason());
+        LogEvent.of("attempt_refused")
+                .with("request", attempt.id().requestId())
+                .with("attempt", attempt.id().attempt())
+                .with("reason", refusal.reason().label())
+                .with("verdict", refusal.verdict().label())
+                .info();
+        attempt.peer().send(new Message.Refused(attempt.id(), refusal));
+    }
+
+    // -- queries
+
+    int waiting() {
+        return waiting.size();
+    }
+
+    int running() {
+        return streams.size();
+    }
+
+    CacheIndex index() {
+        return index;
+    }
+
+    long estimatedWaitMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(queue.waitNanos(nanoTime.getAsLong()));
+    }
+
+    private Optional<Refusal> check(Message.Submit submit, BackendState backend) {
+        if (!backend.up()) {
+            return Optional.of(Refusal.notRun(Reason.NO_BACKEND, "the engine does not answer"));
+        }
+        if (submit.expectedIncarnation() != 0 && submit.expectedIncarnation() != backend.incarnation()) {
+            return Optional.of(Refusal.notRun(Reason.STALE_INCARNATION, "the engine restarted since it was chosen"));
+        }
+        if (!submit.scope().weightsDigest().equals(backend.weightsDigest())) {
+            return Optional.of(Refusal.notRun(Reason.WRONG_WEIGHTS, "the engine holds other weights"));
+        }
+        boolean known =
+                waiting.containsKey(submit.id()) || streams.find(submit.id()).isPresent();
+        return known
+                ? Optional.of(Refusal.notRun(Reason.MALFORMED_REQUEST, "the attempt was submitted before"))
+                : Optional.empty();
+    }
+
+    private int pending(List<Long> shortDigests, int cached) {
+        Set<Long> computed = queue.computedShortDigests();
+        int pending = cached;
+        while (pending < shortDigests.size() && computed.contains(shortDigests.get(pending))) {
+            pending++;
+        }
+        return pending;
+    }
+
+    // -- decisions
+
+    private void startNext() {
+        perform(queue.start(index, nanoTime.getAsLong()));
+    }
+
+    private void perform(List<AdmissionAction> actions) {
+        actions.forEach(this::perform);
+    }
+
+    private void perform(AdmissionAction action) {
+        ModelAttempt attempt = waiting.remove(action.id());
+        if (action instanceof AdmissionAction.Refuse refuse) {
+            refused(attempt, refuse.refusal());
+        } else {
+            metrics.queueWait(attempt.waitedNanos(nanoTime.getAsLong()));
+            streams.run(attempt, nanoTime.getAsLong());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/ServiceWatch.java
@@ -0,0 +1,45 @@
+package org.geraniumford.daemon.sidecar;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** Checks whether the plain service accepts connections. */
+final class ServiceWatch implements BackendWatch {
+    private static final long CHECK_NANOS = Duration.ofMillis(500).toNanos();
+
+    private final Supplier<CompletableFuture<Boolean>> check;
+    private final BackendState up;
+    private final EventRing ring;
+    private long nextCheckNanos;
+    private volatile boolean checking;
+
+    private ServiceWatch(Supplier<CompletableFuture<Boolean>> check, BackendState up, EventRing ring, long nowNanos) {
+        this.check = check;
+        this.up = up;
+        this.ring = ring;
+        this.nextCheckNanos = nowNanos;
+    }
+
+    // -- construction
+
+    static ServiceWatch of(Supplier<CompletableFuture<Boolean>> check, BackendState up, EventRing ring, long nowNanos) {
+        return new ServiceWatch(check, up, ring, nowNanos);
+    }
+
+    // -- commands
+
+    @Override
+    public void tick(long nowNanos) {
+        if (checking || nowNanos - nextCheckNanos < 0) {
+            return;
+        }
+        checking = true;
+        nextCheckNanos = nowNanos + CHECK_NANOS;
+        check.get().whenComplete((accepts, failure) -> {
+            boolean answers = failure == null && accepts;
+            ring.offer(new SidecarEvent.BackendSeen(answers ? up : BackendState.down(up.service())));
+            checking = false;
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
@@ -0,0 +1,116 @@
+package org.geraniumford.daemon.sidecar;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.asynchttpclient.AsyncHttpClient;
+import org.geraniumford.core.admission.AdmissionLimits;
+import org.geraniumford.core.admission.AdmissionQueue;
+import org.geraniumford.core.admission.CostModel;
+import org.geraniumford.core.cache.CacheIndex;
+import org.geraniumford.core.cache.GapPolicy;
+import org.geraniumford.core.close.Closer;
+import org.geraniumford.core.tokens.TokenRegister;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.core.wire.Role;
+import org.geraniumford.daemon.settings.SidecarSettings;
+import org.geraniumford.transport.duty.Duty;
+import org.geraniumford.transport.engine.BackendHttp;
+import org.geraniumford.transport.engine.Engine;
+import org.geraniumford.transport.engine.EngineClient;
+import org.geraniumford.transport.engine.PortCheck;
+import org.geraniumford.transport.engine.ServiceClient;
+
+/** Creates the parts of one sidecar and joins them by its ring. */
+final class SidecarAssembly {
+    private static final int NETWORK_THREADS = 2;
+    private static final int CLIENT_THREADS = 1;
+    private static final int RING_EVENTS = 8192;
+    private static final int REMEMBERED_TOKENS = 100_000;
+    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration CLOCK_SKEW = Duration.ofSeconds(1);
+
+    private final SidecarSettings settings;
+    private final Closer closer;
+    private final AtomicReference<Duty<SidecarEvent>> duty = new AtomicReference<>();
+    private final long incarnation = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+
+    SidecarAssembly(SidecarSettings settings, Closer closer) {
+        this.settings = settings;
+        this.closer = closer;
+    }
+
+    // -- commands
+
+    EventLoopGroup network() {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+                NETWORK_THREADS, new DefaultThreadFactory("sidecar-network", true), NioIoHandler.newFactory());
+        AutoCloseable stop =
+                () -> group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        closer.add(stop);
+        return group;
+    }
+
+    /** Creates the duty's work; the ring takes events once {@link #run} was called. */
+    SidecarDuty handler(EventLoopGroup group, SidecarMetrics metrics) {
+        AsyncHttpClient http = closer.add(BackendHttp.create(CLIENT_THREADS));
+        Engine engine = EngineClient.of(settings.backend(), http);
+        ServiceClient service = ServiceClient.of(settings.backend(), http);
+        CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
+        AdmissionQueue queue = AdmissionQueue.of(AdmissionLimits.standard(), CostModel.initial());
+        TokenRegister tokens = TokenRegister.start(incarnation, CLOCK_SKEW, REMEMBERED_TOKENS);
+        return SidecarDuty.of(
+                settings.processId(),
+                settings.service(),
+                ModelRequests.of(engine, this::offer, index, queue, metrics, System::nanoTime),
+                PlainCalls.of(service::pass, tokens, this::offer, metrics),
+                watch(group, engine, index),
+                metrics,
+                System::nanoTime);
+    }
+
+    private BackendWatch watch(EventLoopGroup group, Engine engine, CacheIndex index) {
+        return settings.service().isEmpty()
+                ? EngineWatch.of(engine, index, this::offer, System.nanoTime())
+                : ServiceWatch.of(
+                        () -> PortCheck.accepts(group, settings.backend()),
+                        new BackendState(settings.service(), "", "", incarnation),
+                        this::offer,
+                        System.nanoTime());
+    }
+
+    void run(SidecarDuty handler) {
+        duty.set(closer.add(Duty.start("sidecar", RING_EVENTS, TICK, handler)));
+    }
+
+    /** Asks the duty to take no new work; the future is done once everything that runs has finished. */
+    CompletableFuture<Void> leave() {
+        CompletableFuture<Void> finished = new CompletableFuture<>();
+        Delivery.untilTaken(this::offer, new SidecarEvent.Leave(finished));
+        return finished;
+    }
+
+    /** Hands an event to the duty; returns false if its ring is full. */
+    boolean offer(SidecarEvent event) {
+        Duty<SidecarEvent> running = duty.get();
+        return running != null && running.offer(event);
+    }
+
+    // -- queries
+
+    Message.Hello hello() {
+        String backend = settings.service().isEmpty() ? settings.processId() : settings.service();
+        return new Message.Hello(settings.processId(), Role.SIDECAR, settings.failureDomain(), backend);
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
@@ -0,0 +1,137 @@
+package org.geraniumford.daemon.sidecar;
+
+import static java.util.Objects.requireNonNull;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumford.core.close.Closer;
+import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.daemon.settings.SidecarSettings;
+import org.geraniumford.transport.http.HttpLimits;
+import org.geraniumford.transport.http.HttpServer;
+import org.geraniumford.transport.link.LinkIdentity;
+import org.geraniumford.transport.link.LinkListener;
+import org.geraniumford.transport.link.LinkNetwork;
+import org.geraniumford.transport.log.LogEvent;
+
+/** The process beside one backend server: it alone passes requests on and decides which to refuse. */
+public final class SidecarDaemon implements AutoCloseable {
+    private final SidecarAssembly parts;
+    private final Closer closer;
+    private final LinkListener links;
+    private final HttpServer operators;
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+    private SidecarDaemon(SidecarAssembly parts, Closer closer, LinkListener links, HttpServer operators) {
+        this.parts = parts;
+        this.closer = closer;
+        this.links = links;
+        this.operators = operators;
+    }
+
+    // -- construction
+
+    /**
+     * Starts a sidecar. The backend server need not be up yet.
+     *
+     * @param settings the process's settings
+     * @return the listening sidecar, or the failure to listen
+     */
+    public static CompletableFuture<SidecarDaemon> start(SidecarSettings settings) {
+        requireNonNull(settings, "settings is null");
+        Closer closer = Closer.empty();
+        return assemble(settings, closer).whenComplete((daemon, failure) -> {
+            if (failure != null) {
+                CompletableFuture.runAsync(closer::close);
+            }
+        });
+    }
+
+    private static CompletableFuture<SidecarDaemon> assemble(SidecarSettings settings, Closer closer) {
+        SidecarAssembly parts = new SidecarAssembly(settings, closer);
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        SidecarMetrics metrics = SidecarMetrics.of(registry);
+        EventLoopGroup group = parts.network();
+        SidecarDuty handler = parts.handler(group, metrics);
+        parts.run(handler);
+        ConfigurationHolder configuration = ConfigurationHolder.empty();
+        LinkNetwork network =
+                LinkNetwork.of(group, new LinkIdentity(parts.hello(), parts.incarnation(), configuration::version));
+        CompletableFuture<SidecarDaemon> started = new CompletableFuture<>();
+        Runnable drain = () -> started.thenAccept(SidecarDaemon::drain);
+        OperatorService service = OperatorService.of(handler::status, registry, drain);
+        return network.listen(settings.linkAddress(), SidecarLinks.of(parts::offer, metrics))
+                .thenApply(closer::add)
+                .thenCompose(
+                        links -> HttpServer.start(group, settings.operatorAddress(), HttpLimits.standard(), service)
+                                .thenApply(closer::add)
+                                .thenApply(operators -> new SidecarDaemon(parts, closer, links, operators)))
+                .thenApply(daemon -> {
+                    logStart(settings, daemon);
+                    started.complete(daemon);
+                    return daemon;
+                });
+    }
+
+    private static void logStart(SidecarSettings settings, SidecarDaemon daemon) {
+        LogEvent.of("sidecar_started")
+                .with("process", settings.processId())
+                .with("link", daemon.linkAddress())
+                .with("operator", daemon.operatorAddress())
+                .info();
+    }
+
+    // -- queries
+
+    /**
+     * Returns where the router's other processes connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress linkAddress() {
+        return links.address();
+    }
+
+    /**
+     * Returns where operators connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress operatorAddress() {
+        return operators.address();
+    }
+
+    /**
+     * Returns the end of the sidecar.
+     *
+     * @return done once everything is closed
+     */
+    public CompletableFuture<Void> closed() {
+        return closed.copy();
+    }
+
+    // -- commands
+
+    /**
+     * Takes no new work, finishes what runs, then closes the sidecar.
+     *
+     * @return done once everything has finished and the sidecar is closed
+     */
+    public CompletableFuture<Void> drain() {
+        parts.leave().thenRunAsync(this::close);
+        return closed();
+    }
+
+    /** Ends the sidecar at once; running requests are cut off. */
+    @Override
+    public void close() {
+        try {
+            closer.close();
+        } finally {
+            closed.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarLinks.java
@@ -0,0 +1,72 @@
+package org.geraniumford.daemon.sidecar;
+
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+import org.geraniumford.transport.link.LinkHandler;
+
+/** Hands what happens on links to the sidecar's duty. Answers at once what a full ring keeps out. */
+final class SidecarLinks implements LinkHandler {
+    private final EventRing ring;
+    private final SidecarMetrics metrics;
+
+    private SidecarLinks(EventRing ring, SidecarMetrics metrics) {
+        this.ring = ring;
+        this.metrics = metrics;
+    }
+
+    // -- construction
+
+    static SidecarLinks of(EventRing ring, SidecarMetrics metrics) {
+        return new SidecarLinks(ring, metrics);
+    }
+
+    // -- commands
+
+    @Override
+    public void opened(Link link) {
+        if (!ring.offer(new SidecarEvent.PeerOpened(new Peer.OfLink(link)))) {
+            metrics.reasons().refused(Reason.RING_FULL);
+            link.close();
+        }
+    }
+
+    @Override
+    public void received(Link link, Envelope envelope) {
+        Message message = envelope.message();
+        if (message instanceof Message.Ping ping) {
+            link.send(new Message.Pong(ping.id()));
+        } else if (!(message instanceof Message.Hello)
+                && !ring.offer(new SidecarEvent.Received(new Peer.OfLink(link), message))) {
+            overflow(link, message);
+        }
+    }
+
+    /** A closed link needs no event of its own if the ring is full, since each tick looks for closed links. */
+    @Override
+    public void closed(Link link, boolean broken) {
+        if (broken) {
+            metrics.reasons().refused(Reason.BROKEN_FRAME);
+        }
+        ring.offer(new SidecarEvent.PeerClosed(new Peer.OfLink(link)));
+    }
+
+    /** Refuses new work, lets questions go unanswered, and cuts a link on which a command would be lost. */
+    private void overflow(Link link, Message message) {
+        metrics.reasons().refused(Reason.RING_FULL);
+        if (message instanceof Message.Submit submit) {
+            refuse(link, submit.id());
+        } else if (message instanceof Message.Call call) {
+            refuse(link, call.id());
+        } else if (!(message instanceof Message.Probe) && !(message instanceof Message.StatusRequest)) {
+            link.close();
+        }
+    }
+
+    private static void refuse(Link link, AttemptId id) {
+        link.send(new Message.Refused(id, Refusal.notRun(Reason.RING_FULL, "the sidecar's ring is full")));
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/engine/BackendHttp.java
@@ -0,0 +1,34 @@
+package org.geraniumford.transport.engine;
+
+import java.time.Duration;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+
+/** The HTTP client towards backend servers. */
+public final class BackendHttp {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
+
+    private BackendHttp() {}
+
+    /**
+     * Creates a client that never sends a request twice on its own account.
+     *
+     * @param threads the number of network threads, at least 1
+     * @return a client, to be closed by its owner
+     */
+    public static AsyncHttpClient create(int threads) {
+        return Dsl.asyncHttpClient(Dsl.config()
+                .setMaxRequestRetry(0)
+                .setFollowRedirect(false)
+                .setConnectTimeout(CONNECT_TIMEOUT)
+                .setRequestTimeout(REQUEST_TIMEOUT)
+                .setReadTimeout(REQUEST_TIMEOUT)
+                .setTcpNoDelay(true)
+                .setIoThreadsCount(threads)
+                .setShutdownQuietPeriod(Duration.ZERO)
+                .setShutdownTimeout(Duration.ofSeconds(1))
+                .setThreadPoolName("backend-http")
+                .build());
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/engine/CompletionHandler.java
@@ -0,0 +1,168 @@
+package org.geraniumford.transport.engine;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+
+/** Reads the answer stream of one completion and controls its connection. */
+final class CompletionHandler implements AsyncHandler<Void>, EngineStream {
+    private static final int MAX_EVENT_BYTES = 64 * 1024;
+    private static final int MAX_ERROR_BYTES = 4 * 1024;
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+
+    private final CompletionListener listener;
+    private final ServerSentEvents events = ServerSentEvents.of(MAX_EVENT_BYTES);
+    private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
+    private int status;
+    private volatile boolean ended;
+    private volatile Channel channel;
+    private volatile boolean written;
+    private volatile boolean paused;
+    private volatile boolean aborted;
+
+    CompletionHandler(CompletionListener listener) {
+        this.listener = listener;
+    }
+
+    // -- commands
+
+    @Override
+    public void pause() {
+        paused = true;
+        applyPause();
+    }
+
+    @Override
+    public void resume() {
+        paused = false;
+        applyPause();
+    }
+
+    @Override
+    public void abort() {
+        aborted = true;
+        Channel open = channel;
+        if (open != null) {
+            open.eventLoop().execute(() -> closeIfOwn(open));
+        }
+    }
+
+    private void closeIfOwn(Channel open) {
+        if (!ended) {
+            open.close();
+        }
+    }
+
+    private void applyPause() {
+        Channel open = channel;
+        if (open != null) {
+            open.eventLoop().execute(() -> open.config().setAutoRead(!paused || ended));
+        }
+    }
+
+    // -- connection
+
+    @Override
+    public void onTcpConnectSuccess(InetSocketAddress address, Channel connected) {
+        attach(connected);
+    }
+
+    @Override
+    public void onConnectionPooled(Channel pooled) {
+        attach(pooled);
+    }
+
+    @Override
+    public void onRequestSend(NettyRequest request) {
+        written = true;
+    }
+
+    private void attach(Channel open) {
+        channel = open;
+        if (aborted) {
+            open.close();
+        }
+    }
+
+    // -- answer
+
+    @Override
+    public State onStatusReceived(HttpResponseStatus received) {
+        status = received.getStatusCode();
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onHeadersReceived(HttpHeaders headers) {
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onBodyPartReceived(HttpResponseBodyPart part) {
+        byte[] bytes = part.getBodyPartBytes();
+        if (status != OK) {
+            errorBody.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - errorBody.size()));
+            return State.CONTINUE;
+        }
+        List<EngineAnswer> answers =
+                events.read(bytes).stream().map(EngineJson::answer).toList();
+        if (!answers.isEmpty() && !ended && !aborted) {
+            ended = answers.get(answers.size() - 1) instanceof EngineAnswer.End;
+            listener.answered(answers);
+        }
+        return State.CONTINUE;
+    }
+
+    @Override
+    public Void onCompleted() {
+        if (!ended) {
+            fail(status == OK ? broken("the engine ended the stream early") : errorStatus());
+        }
+        ended = true;
+        applyPause();
+        channel = null;
+        return null;
+    }
+
+    @Override
+    public void onThrowable(Throwable failure) {
+        if (!ended) {
+            String detail = "engine: " + failure.getClass().getSimpleName();
+            fail(written ? broken(detail) : Refusal.notRun(Reason.CONNECT_FAILED, detail));
+        }
+        ended = true;
+    }
+
+    private void fail(Refusal refusal) {
+        if (!aborted) {
+            listener.failed(refusal);
+        }
+    }
+
+    private static Refusal broken(String detail) {
+        return Refusal.of(Reason.STREAM_BROKEN, Verdict.MAY_HAVE_RUN, detail);
+    }
+
+    private Refusal errorStatus() {
+        String error = EngineJson.error(errorBody.toString(StandardCharsets.UTF_8));
+        if (status == CONFLICT && error.equals("wrong_weights")) {
+            return Refusal.notRun(Reason.WRONG_WEIGHTS, "the engine holds other weights");
+        }
+        if (status == UNAVAILABLE && error.equals("overloaded")) {
+            return Refusal.notRun(Reason.QUEUE_FULL, "the engine's waiting list is full");
+        }
+        return Refusal.of(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, "the engine answered with status " + status);
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/engine/EngineAnswer.java
@@ -0,0 +1,33 @@
+package org.geraniumford.transport.engine;
+
+/** One event of a completion's answer stream. */
+public sealed interface EngineAnswer {
+    /**
+     * The engine began the prefill.
+     *
+     * @param incarnation the engine's incarnation
+     * @param weightsDigest the weights that produce the answer
+     * @param cachedPieces the number of pieces taken from the cache
+     */
+    record Started(long incarnation, String weightsDigest, int cachedPieces) implements EngineAnswer {}
+
+    /**
+     * One answer token.
+     *
+     * @param offset the number of answer tokens before this one
+     * @param text the token's text
+     * @param incarnation the engine's incarnation
+     * @param weightsDigest the weights that produced it
+     */
+    record Token(int offset, String text, long incarnation, String weightsDigest) implements EngineAnswer {}
+
+    /**
+     * The answer is complete.
+     *
+     * @param finishReason why it ends: {@code stop} or {@code length}
+     * @param offset the number of tokens in the whole answer
+     * @param promptTokens the prompt's length in tokens
+     * @param cachedTokens the number of prompt tokens taken from the cache
+     */
+    record End(String finishReason, int offset, int promptTokens, int cachedTokens) implements EngineAnswer {}
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/engine/EngineClient.java
@@ -0,0 +1,184 @@
+package org.geraniumford.transport.engine;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+import org.geraniumford.core.cache.CacheEvent;
+import org.geraniumford.core.cache.CacheSnapshot;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+
+/** A model engine behind its HTTP interface. Thread-safe. */
+public final class EngineClient implements Engine {
+    private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
+    private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
+    private static final int OK = 200;
+    private static final int CONFLICT = 409;
+
+    private final String base;
+    private final AsyncHttpClient http;
+
+    private EngineClient(String base, AsyncHttpClient http) {
+        this.base = base;
+        this.http = http;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a client.
+     *
+     * @param base the engine's base address
+     * @param http the HTTP client, closed by its owner; it must not repeat requests on its own account
+     * @return a client without connections
+     */
+    public static EngineClient of(URI base, AsyncHttpClient http) {
+        String text = requireNonNull(base, "base is null").toString();
+        return new EngineClient(
+                text.endsWith("/") ? text.substring(0, text.length() - 1) : text, requireNonNull(http, "http is null"));
+    }
+
+    // -- commands
+
+    @Override
+    public EngineStream run(EngineRequest request, CompletionListener listener) {
+        CompletionHandler handler = new CompletionHandler(listener);
+        http.executeRequest(
+                post("/v1/completions", EngineJson.completion(request))
+                        .setRequestTimeout(NO_TIMEOUT)
+                        .setReadTimeout(NO_TIMEOUT),
+                handler);
+        return handler;
+    }
+
+    @Override
+    public void cancel(String requestId) {
+        String id = URLEncoder.encode(requestId, StandardCharsets.UTF_8);
+        http.executeRequest(new RequestBuilder("DELETE").setUrl(base + "/v1/requests/" + id));
+    }
+
+    @Override
+    public CompletableFuture<String> order(EngineOrder order) {
+        RequestBuilder request = post("/orders", EngineJson.order(order))
+                .setRequestTimeout(ORDER_TIMEOUT)
+                .setReadTimeout(ORDER_TIMEOUT);
+        return answer(request, Verdict.MAY_HAVE_RUN, EngineJson::weightsDigest);
+    }
+
+    @Override
+    public CompletableFuture<Void> follow(long after, Consumer<CacheEvent> listener) {
+        RequestBuilder request =
+                get("/events?after=" + after).setRequestTimeout(NO_TIMEOUT).setReadTimeout(NO_TIMEOUT);
+        return http.executeRequest(request, new EventHandler(listener)).toCompletableFuture();
+    }
+
+    // -- queries
+
+    @Override
+    public CompletableFuture<EngineState> state() {
+        return answer(query("/state"), Verdict.NOT_RUN, EngineJson::state);
+    }
+
+    @Override
+    public CompletableFuture<CacheSnapshot> cache() {
+        return answer(query("/cache"), Verdict.NOT_RUN, EngineJson::snapshot);
+    }
+
+    // -- requests
+
+    private <T> CompletableFuture<T> answer(RequestBuilder request, Verdict lost, Function<String, T> reader) {
+        return http.executeRequest(request).toCompletableFuture().handle((response, failure) -> {
+            if (failure != null) {
+                throw Refusal.of(
+                                Reason.CONNECTION_LOST,
+                                lost,
+                                "engine: " + failure.getClass().getSimpleName())
+                        .toException();
+            }
+            return read(response, lost, reader);
+        });
+    }
+
+    private static <T> T read(Response response, Verdict lost, Function<String, T> reader) {
+        int status = response.getStatusCode();
+        if (status != OK) {
+            Verdict verdict = status == CONFLICT ? Verdict.NOT_RUN : lost;
+            throw Refusal.of(Reason.BACKEND_FAILED, verdict, "the engine answered with status " + status)
+                    .toException();
+        }
+        try {
+            return reader.apply(response.getResponseBody(StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException e) {
+            throw Refusal.of(Reason.BACKEND_FAILED, lost, "engine: " + e.getMessage())
+                    .toException();
+        }
+    }
+
+    private RequestBuilder query(String path) {
+        return get(path).setRequestTimeout(QUERY_TIMEOUT).setReadTimeout(QUERY_TIMEOUT);
+    }
+
+    private RequestBuilder get(String path) {
+        return new RequestBuilder("GET").setUrl(base + path);
+    }
+
+    private RequestBuilder post(String path, String json) {
+        return new RequestBuilder("POST")
+                .setUrl(base + path)
+                .setHeader("Content-Type", "application/json")
+                .setBody(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Reads the cache events until their stream ends. */
+    private static final class EventHandler implements AsyncHandler<Void> {
+        private static final int MAX_EVENT_BYTES = 4 * 1024 * 1024;
+
+        private final Consumer<CacheEvent> listener;
+        private final ServerSentEvents events = ServerSentEvents.of(MAX_EVENT_BYTES);
+
+        private EventHandler(Consumer<CacheEvent> listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        public State onStatusReceived(HttpResponseStatus status) {
+            return status.getStatusCode() == OK ? State.CONTINUE : State.ABORT;
+        }
+
+        @Override
+        public State onHeadersReceived(HttpHeaders headers) {
+            return State.CONTINUE;
+        }
+
+        @Override
+        public State onBodyPartReceived(HttpResponseBodyPart part) {
+            events.read(part.getBodyPartBytes()).stream()
+                    .map(EngineJson::cacheEvent)
+                    .forEach(listener);
+            return State.CONTINUE;
+        }
+
+        @Override
+        public void onThrowable(Throwable failure) {}
+
+        @Override
+        public Void onCompleted() {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/engine/ServerSentEvents.java
@@ -0,0 +1,57 @@
+package org.geraniumford.transport.engine;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Splits the bytes of an event stream into the data of its events, in whatever parts the bytes arrive. */
+final class ServerSentEvents {
+    private static final String DATA_FIELD = "data:";
+
+    private final int maxEventBytes;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final StringBuilder data = new StringBuilder();
+
+    private ServerSentEvents(int maxEventBytes) {
+        this.maxEventBytes = maxEventBytes;
+    }
+
+    // -- construction
+
+    static ServerSentEvents of(int maxEventBytes) {
+        return new ServerSentEvents(maxEventBytes);
+    }
+
+    // -- commands
+
+    List<String> read(byte[] bytes) {
+        List<String> events = new ArrayList<>();
+        for (byte next : bytes) {
+            if (next == '\n') {
+                endLine(events);
+            } else if (next != '\r') {
+                append(next);
+            }
+        }
+        return events;
+    }
+
+    private void append(byte next) {
+        if (line.size() + data.length() >= maxEventBytes) {
+            throw new IllegalArgumentException("an event exceeds " + maxEventBytes + " bytes");
+        }
+        line.write(next);
+    }
+
+    private void endLine(List<String> events) {
+        String text = line.toString(StandardCharsets.UTF_8);
+        line.reset();
+        if (text.startsWith(DATA_FIELD)) {
+            data.append(text.substring(DATA_FIELD.length()).strip());
+        } else if (text.isEmpty() && data.length() > 0) {
+            events.add(data.toString());
+            data.setLength(0);
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/engine/ServiceClient.java
@@ -0,0 +1,106 @@
+package org.geraniumford.transport.engine;
+
+import static java.util.Objects.requireNonNull;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncCompletionHandlerBase;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.wire.Message;
+
+/** A plain service behind HTTP. Thread-safe. */
+public final class ServiceClient {
+    private final String base;
+    private final AsyncHttpClient http;
+
+    private ServiceClient(String base, AsyncHttpClient http) {
+        this.base = base;
+        this.http = http;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a client.
+     *
+     * @param base the service's base address
+     * @param http the HTTP client, closed by its owner; it must not repeat requests on its own account
+     * @return a client without connections
+     */
+    public static ServiceClient of(URI base, AsyncHttpClient http) {
+        String text = requireNonNull(base, "base is null").toString();
+        return new ServiceClient(
+                text.endsWith("/") ? text.substring(0, text.length() - 1) : text, requireNonNull(http, "http is null"));
+    }
+
+    // -- commands
+
+    /**
+     * Passes a call to the service, once.
+     *
+     * @param call the call
+     * @return the service's answer, or a failure with {@link Verdict#NOT_RUN} if nothing was written to the service
+     */
+    public CompletableFuture<Message.CallResult> pass(Message.Call call) {
+        try {
+            return send(call);
+        } catch (IllegalArgumentException e) {
+            return CompletableFuture.failedFuture(
+                    Refusal.notRun(Reason.MALFORMED_REQUEST, "the path, method or content type cannot be sent")
+                            .toException());
+        }
+    }
+
+    private CompletableFuture<Message.CallResult> send(Message.Call call) {
+        Duration timeout = Duration.ofNanos(Math.max(1_000_000, call.timeoutMicros() * 1_000));
+        RequestBuilder request = new RequestBuilder(call.method())
+                .setUrl(base + call.path())
+                .setRequestTimeout(timeout)
+                .setReadTimeout(timeout);
+        if (!call.contentType().isEmpty()) {
+            request.setHeader("Content-Type", call.contentType())
+                    .setBody(call.body().getBytes(StandardCharsets.UTF_8));
+        }
+        CallHandler handler = new CallHandler();
+        return http.executeRequest(request, handler).toCompletableFuture().handle((response, failure) -> {
+            if (failure != null) {
+                throw handler.refusalOf(failure).toException();
+            }
+            return result(call, response);
+        });
+    }
+
+    private static Message.CallResult result(Message.Call call, Response response) {
+        return new Message.CallResult(
+                call.id(),
+                response.getStatusCode(),
+                Optional.ofNullable(response.getContentType()).orElse(""),
+                response.getResponseBody(StandardCharsets.UTF_8));
+    }
+
+    /** Remembers whether the request was written. */
+    private static final class CallHandler extends AsyncCompletionHandlerBase {
+        private volatile boolean written;
+
+        @Override
+        public void onRequestSend(NettyRequest request) {
+            written = true;
+        }
+
+        private Refusal refusalOf(Throwable failure) {
+            String detail = "plain service: " + failure.getClass().getSimpleName();
+            return written
+                    ? Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, detail)
+                    : Refusal.notRun(Reason.CONNECT_FAILED, detail);
+        }
+    }
+}
--- a/transport/src/main/java/org/geraniumford/transport/link/Link.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/Link.java
@@ -59,6 +59,15 @@
         return channel.isActive();
     }
 
+    /**
+     * Says whether everything sent has left this process.
+     *
+     * @return true if no bytes wait, also once the connection has ended
+     */
+    public boolean flushed() {
+        return unsentBytes() == 0;
+    }
+
     /**
      * Names the connection for logs.
      *
