Operator port, and the commands status, explain and drain

Cause: an operator needs to see each process's state, drain it and read its metrics apart from the callers' port.

Ruled out: status over the link (Message.StatusRequest): it would need an operator's certificate and a codec on the client; HTTP is at hand.

Change: OperatorServer (health, ready, metrics, status, explain, drain) over OperatorSource, which a daemon implements; typed ProcessStatus and HostStatus; status shows how far each configuration is behind; drain waits for running and waiting requests.

--- a/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
@@ -22,6 +22,9 @@
                         "Stands in front of one backend server on its host.",
                         SidecarSettings::drainTimeout,
                         settings -> missing()),
+                new StatusCommand(),
+                new ExplainCommand(),
+                new DrainCommand(),
                 new SettingsCommand());
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/StatusCommand.java
@@ -0,0 +1,115 @@
+package org.geraniumford.daemon.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.geraniumford.daemon.operator.HostStatus;
+import org.geraniumford.daemon.operator.ProcessStatus;
+
+/** Prints the state of processes and of the hosts that they know. */
+final class StatusCommand implements Command {
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String arguments() {
+        return "--at IP:PORT,...";
+    }
+
+    @Override
+    public String summary() {
+        return "Shows processes, the hosts they know, and how far behind each one's configuration is.";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        OperatorOptions.declare(parser);
+    }
+
+    @Override
+    public ExitCode run(OptionSet options, Console console) throws CommandException {
+        List<ProcessStatus> processes = new ArrayList<>();
+        ExitCode code = ExitCode.OK;
+        try (OperatorClient client = OperatorClient.open()) {
+            for (InetSocketAddress address : OperatorOptions.addresses(options)) {
+                code = add(client, address, processes, console) ? code : ExitCode.FAILED;
+            }
+        }
+        console.out().println(OperatorOptions.json(options) ? json(processes) : tables(processes));
+        return code;
+    }
+
+    private static boolean add(
+            OperatorClient client, InetSocketAddress address, List<ProcessStatus> processes, Console console) {
+        try {
+            processes.add(client.status(address));
+            return true;
+        } catch (CommandException e) {
+            console.err().println("geraniumford: " + e.getMessage());
+            return false;
+        }
+    }
+
+    // -- rendering
+
+    private static String json(List<ProcessStatus> processes) throws CommandException {
+        try {
+            return new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(processes);
+        } catch (JsonProcessingException e) {
+            throw CommandException.failed("cannot render the status: " + e.getMessage());
+        }
+    }
+
+    private static String tables(List<ProcessStatus> processes) {
+        long newest =
+                processes.stream().flatMapToLong(StatusCommand::versions).max().orElse(0);
+        Table table = Table.of("PROCESS", "ROLE", "DOMAIN", "STATE", "CONFIG", "BEHIND", "RUNNING", "WAITING");
+        processes.forEach(process -> table.row(
+                process.process(),
+                process.role(),
+                process.failureDomain(),
+                state(process),
+                process.configurationVersion(),
+                newest - process.configurationVersion(),
+                process.running(),
+                process.waiting()));
+        Table hosts = Table.of(
+                "SEEN BY", "HOST", "KIND", "ADDRESS", "DOMAIN", "LINK", "LEAVING", "BACKEND", "CONFIG", "WAIT MS");
+        processes.forEach(process -> process.hosts().forEach(host -> addHost(hosts, process, host)));
+        return table.render() + "\n\n" + hosts.render();
+    }
+
+    private static void addHost(Table table, ProcessStatus process, HostStatus host) {
+        table.row(
+                process.process(),
+                host.name(),
+                host.kind(),
+                host.address(),
+                host.failureDomain(),
+                host.connected() ? "open" : "closed",
+                host.leaving() ? "yes" : "no",
+                host.backendIncarnation() == 0 ? "-" : host.backendIncarnation(),
+                host.configurationVersion(),
+                host.estimatedWaitMicros() / 1000);
+    }
+
+    private static LongStream versions(ProcessStatus process) {
+        return LongStream.concat(
+                LongStream.of(process.configurationVersion()),
+                process.hosts().stream().mapToLong(HostStatus::configurationVersion));
+    }
+
+    private static String state(ProcessStatus process) {
+        if (process.draining()) {
+            return "draining";
+        }
+        return process.ready() ? "ready" : "not ready";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Table.java
@@ -0,0 +1,45 @@
+package org.geraniumford.daemon.command;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Rows of cells with aligned columns. */
+final class Table {
+    private final List<List<String>> rows = new ArrayList<>();
+
+    private Table() {}
+
+    static Table of(String... headings) {
+        Table table = new Table();
+        table.rows.add(List.of(headings));
+        return table;
+    }
+
+    /** Adds a row; each cell is shown as its text. */
+    Table row(Object... cells) {
+        rows.add(List.of(cells).stream().map(String::valueOf).toList());
+        return this;
+    }
+
+    /** Returns the rows as lines, two spaces between columns. */
+    String render() {
+        int columns = rows.get(0).size();
+        List<Integer> widths = IntStream.range(0, columns)
+                .mapToObj(column -> rows.stream()
+                        .mapToInt(row -> row.get(column).length())
+                        .max()
+                        .orElse(0))
+                .toList();
+        return rows.stream().map(row -> line(row, widths)).collect(Collectors.joining("\n"));
+    }
+
+    private static String line(List<String> row, List<Integer> widths) {
+        return IntStream.range(0, row.size())
+                .mapToObj(column -> row.get(column)
+                        + " ".repeat(widths.get(column) - row.get(column).length()))
+                .collect(Collectors.joining("  "))
+                .stripTrailing();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/operator/OperatorService.java
@@ -0,0 +1,102 @@
+package org.geraniumford.daemon.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.transport.http.HttpExchange;
+import org.geraniumford.transport.http.HttpService;
+import org.geraniumford.transport.log.LogEvent;
+
+/** Answers operators' requests. */
+final class OperatorService implements HttpService {
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final PrometheusMeterRegistry registry;
+    private final OperatorSource source;
+
+    OperatorService(PrometheusMeterRegistry registry, OperatorSource source) {
+        this.registry = registry;
+        this.source = source;
+    }
+
+    // -- requests
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        Optional<OperatorRoute> route = OperatorRoute.of(exchange.path());
+        if (route.isEmpty()) {
+            refuse(exchange, Reason.UNKNOWN_PATH, "the operator port does not serve this path");
+        } else if (!route.get().method().equals(exchange.method())) {
+            refuse(
+                    exchange,
+                    Reason.METHOD_NOT_ALLOWED,
+                    "the path takes " + route.get().method());
+        } else {
+            answerGuarded(route.get(), exchange);
+        }
+    }
+
+    @Override
+    public void rejected(HttpExchange exchange, Reason reason) {
+        refuse(exchange, reason, "the request cannot be read");
+    }
+
+    // -- answers
+
+    private void answerGuarded(OperatorRoute route, HttpExchange exchange) {
+        try {
+            answer(route, exchange);
+        } catch (RuntimeException | JsonProcessingException e) {
+            LogEvent.of("operator_request_failed").with("path", exchange.path()).error(e);
+            refuse(exchange, Reason.INTERNAL, "see the log");
+        }
+    }
+
+    private void answer(OperatorRoute route, HttpExchange exchange) throws JsonProcessingException {
+        switch (route) {
+            case HEALTH -> exchange.respondJson(OK, "{\"healthy\":true}");
+            case READY -> ready(exchange);
+            case METRICS -> exchange.respond(OK, METRICS_TYPE, registry.scrape(), Map.of());
+            case STATUS -> exchange.respondJson(OK, mapper.writeValueAsString(source.status()));
+            case EXPLAIN -> explain(exchange);
+            case DRAIN -> drain(exchange);
+        }
+    }
+
+    private void ready(HttpExchange exchange) {
+        boolean ready = source.ready();
+        exchange.respondJson(ready ? OK : UNAVAILABLE, "{\"ready\":" + ready + "}");
+    }
+
+    private void explain(HttpExchange exchange) {
+        String id = exchange.path().substring(OperatorRoute.EXPLAIN.path().length());
+        source.explain(id)
+                .ifPresentOrElse(
+                        json -> exchange.respondJson(OK, json),
+                        () -> error(exchange, NOT_FOUND, "unknown_request", "this process has no record of it"));
+    }
+
+    private void drain(HttpExchange exchange) {
+        LogEvent.of("drain_asked").info();
+        source.drain();
+        exchange.respondJson(ACCEPTED, "{\"draining\":true}");
+    }
+
+    private void refuse(HttpExchange exchange, Reason reason, String message) {
+        error(exchange, reason.status(), reason.label(), message);
+    }
+
+    private void error(HttpExchange exchange, int status, String reason, String message) {
+        var body = mapper.createObjectNode();
+        body.putObject("error").put("reason", reason).put("message", message);
+        exchange.respondJson(status, body.toString());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/operator/ProcessStatus.java
@@ -0,0 +1,43 @@
+package org.geraniumford.daemon.operator;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.util.List;
+
+/**
+ * The state of one process.
+ *
+ * @param process the process's name
+ * @param role {@code entry} or {@code sidecar}
+ * @param failureDomain its failure domain
+ * @param incarnation its start, in microseconds since the epoch
+ * @param ready whether it takes new work
+ * @param draining whether it has been told to take no new work
+ * @param configurationVersion the configuration version in force; 0 before the first one
+ * @param running the number of requests that have not ended
+ * @param waiting the number of requests that wait for a backend server
+ * @param backendIncarnation the incarnation of a sidecar's backend server; 0 for an entry or while it is down
+ * @param hosts what it knows of other hosts
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record ProcessStatus(
+        String process,
+        String role,
+        String failureDomain,
+        long incarnation,
+        boolean ready,
+        boolean draining,
+        long configurationVersion,
+        int running,
+        int waiting,
+        long backendIncarnation,
+        List<HostStatus> hosts) {
+    /** Checks the components and copies the list. */
+    public ProcessStatus {
+        requireNonNull(process, "process is null");
+        requireNonNull(role, "role is null");
+        requireNonNull(failureDomain, "failureDomain is null");
+        hosts = hosts == null ? List.of() : List.copyOf(hosts);
+    }
+}
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsPage.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsPage.java
@@ -31,7 +31,13 @@
     }
 
     private static String table(SettingsSchema<?> schema) {
-        String rows = schema.settings().stream().map(SettingsPage::row).collect(Collectors.joining());
+        List<String> sections =
+                schema.settings().stream().map(Setting::section).distinct().toList();
+        String rows = sections.stream()
+                .flatMap(section -> schema.settings().stream()
+                        .filter(setting -> setting.section().equals(section)))
+                .map(SettingsPage::row)
+                .collect(Collectors.joining());
         return "## geraniumford " + schema.daemon() + "\n\n"
                 + "| section | key | unit | default | allowed | meaning |\n|---|---|---|---|---|---|\n" + rows;
     }
