--- a/core/src/main/java/org/geraniumford/core/configuration/ConfigurationHead.java
+++ b/core/src/main/java/org/geraniumford/core/configuration/ConfigurationHead.java
@@ -4,32 +4,33 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.SortedMap;
-import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
- * The row of the table service that says which configuration is in force.
+ * The row of the table service that says which configuration is in force. A copy stays in the row of its version.
  *
  * @param version the configuration's version, at least 1
  * @param commitId names the change that led to it, unique across all operators
  * @param digest the digest of the merged text, which is a blob of the object store
- * @param manifestDigest the digest of the list of files, which is a blob of the object store
+ * @param manifestDigest the digest of the {@link FolderManifest}, which is a blob of the object store
+ * @param deltaDigest the digest of the {@link IniDelta} from the version before, which is a blob of the object store;
+ *     empty if there is none
  */
-public record ConfigurationHead(long version, String commitId, String digest, String manifestDigest) {
+public record ConfigurationHead(
+        long version, String commitId, String digest, String manifestDigest, String deltaDigest) {
     /** The table that holds the row. */
     public static final String TABLE = "configuration";
 
     /** The row's name. */
     public static final String ROW = "head";
 
-    private static final String SECTION = "head";
+    private static final String HISTORY_ROW = "version-%012d";
 
     /** Checks the components. */
     public ConfigurationHead {
         requireNonNull(commitId, "commitId is null");
         requireNonNull(digest, "digest is null");
         requireNonNull(manifestDigest, "manifestDigest is null");
+        requireNonNull(deltaDigest, "deltaDigest is null");
         if (version < 1) {
             throw new IllegalArgumentException("version is " + version + ", not at least 1");
         }
@@ -44,22 +45,17 @@
      * @return the head, or empty if the text is not one
      */
     public static Optional<ConfigurationHead> decode(String text) {
-        IniReader.Result result = IniReader.read(ROW, text);
-        return Optional.ofNullable(result.sections().sections().get(SECTION))
-                .filter(section -> result.problems().isEmpty())
-                .flatMap(section -> decode(section.values()));
+        return IniText.decode(ROW, text).flatMap(ConfigurationHead::of);
     }
 
-    private static Optional<ConfigurationHead> decode(SortedMap<String, IniSections.Value> values) {
-        Map<String, String> texts = values.entrySet().stream()
-                .collect(Collectors.toMap(
-                        Map.Entry::getKey, entry -> entry.getValue().text()));
+    private static Optional<ConfigurationHead> of(Map<String, String> values) {
         try {
             return Optional.of(new ConfigurationHead(
-                    Long.parseLong(texts.getOrDefault("version", "")),
-                    texts.get("commit"),
-                    texts.get("digest"),
-                    texts.get("manifest")));
+                    Long.parseLong(values.getOrDefault("version", "")),
+                    values.get("commit"),
+                    values.get("digest"),
+                    values.get("manifest"),
+                    values.getOrDefault("delta", "")));
         } catch (IllegalArgumentException | NullPointerException e) {
             return Optional.empty();
         }
@@ -73,13 +69,23 @@
      * @return the components in INI
      */
     public String encode() {
-        SortedMap<String, String> texts = new TreeMap<>(Map.of(
-                "version", Long.toString(version),
-                "commit", commitId,
-                "digest", digest,
-                "manifest", manifestDigest));
-        return texts.entrySet().stream()
-                .map(entry -> entry.getKey() + " = " + entry.getValue() + "\n")
-                .collect(Collectors.joining("", "[" + SECTION + "]\n", ""));
+        return IniText.encode(
+                ROW,
+                Map.of(
+                        "version", Long.toString(version),
+                        "commit", commitId,
+                        "digest", digest,
+                        "manifest", manifestDigest,
+                        "delta", deltaDigest));
+    }
+
+    /**
+     * Names the row that keeps the head of a version for good.
+     *
+     * @param version the version
+     * @return a row name that sorts by version
+     */
+    public static String historyRow(long version) {
+        return HISTORY_ROW.formatted(version);
     }
 }
--- a/core/src/main/java/org/geraniumford/core/configuration/FolderMerge.java
+++ b/core/src/main/java/org/geraniumford/core/configuration/FolderMerge.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * The operators' folder, merged in the order of the files' names: later files win key by key.
@@ -11,6 +12,7 @@
  * @param problems what is wrong in single files
  */
 public record FolderMerge(IniSections sections, List<ConfigurationProblem> problems) {
+    private static final Pattern FILE_NAME = Pattern.compile("[A-Za-z0-9._-]+");
     private static final FolderMerge EMPTY = new FolderMerge(IniSections.empty(), List.of());
 
     /** Copies the list. */
@@ -34,16 +36,18 @@
     }
 
     private static FolderMerge of(ConfigurationFile file) {
+        if (!FILE_NAME.matcher(file.name()).matches()) {
+            return problem(file.name(), "a file's name has letters, digits, dots, dashes and underscores only");
+        }
         return file.text()
                 .map(text -> IniReader.read(file.name(), text))
                 .map(result -> new FolderMerge(result.sections(), result.problems()))
-                .orElseGet(() -> notUtf8(file.name()));
+                .orElseGet(() -> problem(file.name(), "the file is not UTF-8 text"));
     }
 
-    private static FolderMerge notUtf8(String name) {
+    private static FolderMerge problem(String name, String message) {
         Position position = new Position(name, 0);
-        return new FolderMerge(
-                IniSections.empty(), List.of(ConfigurationProblem.of(position, "", "", "the file is not UTF-8 text")));
+        return new FolderMerge(IniSections.empty(), List.of(ConfigurationProblem.of(position, "", "", message)));
     }
 
     // -- combinators
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/configuration/IniDelta.java
@@ -0,0 +1,148 @@
+package org.geraniumford.core.configuration;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * The change from one merged text to another, in INI: {@code [-NAME]} removes a section; under {@code [+NAME]},
+ * {@code +KEY = VALUE} sets a key and {@code -KEY =} removes one.
+ *
+ * @param sections the lines of each section by its header, in sorted order
+ */
+public record IniDelta(SortedMap<String, SortedMap<String, String>> sections) {
+    private static final String ADD = "+";
+    private static final String REMOVE = "-";
+
+    /** Copies the map. */
+    public IniDelta {
+        sections = Collections.unmodifiableSortedMap(new TreeMap<>(sections));
+    }
+
+    // -- construction
+
+    /**
+     * Compares two folders.
+     *
+     * @param before the sections before
+     * @param after the sections after
+     * @return what turns the former into the latter
+     */
+    public static IniDelta between(IniSections before, IniSections after) {
+        SortedMap<String, SortedMap<String, String>> sections = new TreeMap<>();
+        union(before.sections().keySet(), after.sections().keySet()).forEach(name -> {
+            IniSections.Section old = before.sections().get(name);
+            IniSections.Section fresh = after.sections().get(name);
+            if (fresh == null) {
+                sections.put(REMOVE + name, new TreeMap<>());
+            } else {
+                SortedMap<String, String> lines = lines(texts(old), texts(fresh));
+                if (old == null || !lines.isEmpty()) {
+                    sections.put(ADD + name, lines);
+                }
+            }
+        });
+        return new IniDelta(sections);
+    }
+
+    /**
+     * Reads a blob's text.
+     *
+     * @param text what {@link #encode} wrote
+     * @return the delta, or empty if the text is not one
+     */
+    public static Optional<IniDelta> decode(String text) {
+        IniReader.Result result = IniReader.read("delta", text);
+        SortedMap<String, SortedMap<String, String>> sections = new TreeMap<>();
+        result.sections().sections().forEach((name, section) -> sections.put(name, texts(section)));
+        return Optional.of(new IniDelta(sections))
+                .filter(delta -> result.problems().isEmpty())
+                .filter(IniDelta::wellFormed);
+    }
+
+    // -- queries
+
+    /**
+     * Returns the text to keep in a blob.
+     *
+     * @return the changes in INI
+     */
+    public String encode() {
+        return sections.entrySet().stream()
+                .map(entry -> IniText.encode(entry.getKey(), entry.getValue()))
+                .collect(Collectors.joining());
+    }
+
+    /**
+     * Applies the change to a merged text.
+     *
+     * @param text the text before
+     * @return the text after
+     */
+    public String applyTo(String text) {
+        IniSections before = IniReader.read("merged", text).sections();
+        SortedMap<String, IniSections.Section> after = new TreeMap<>(before.sections());
+        sections.forEach((header, lines) -> {
+            String name = header.substring(1);
+            if (header.startsWith(REMOVE)) {
+                after.remove(name);
+            } else {
+                after.put(name, changed(before.sections().get(name), lines));
+            }
+        });
+        return new IniSections(after).text();
+    }
+
+    // -- parts
+
+    private boolean wellFormed() {
+        return sections.entrySet().stream()
+                .allMatch(entry -> marked(entry.getKey())
+                        && entry.getValue().keySet().stream().allMatch(IniDelta::marked));
+    }
+
+    private static boolean marked(String text) {
+        return text.startsWith(ADD) || text.startsWith(REMOVE);
+    }
+
+    private static SortedMap<String, String> lines(Map<String, String> before, Map<String, String> after) {
+        SortedMap<String, String> lines = new TreeMap<>();
+        union(before.keySet(), after.keySet()).stream()
+                .filter(key -> !Objects.equals(before.get(key), after.get(key)))
+                .forEach(key -> lines.put((after.containsKey(key) ? ADD : REMOVE) + key, after.getOrDefault(key, "")));
+        return lines;
+    }
+
+    private static IniSections.Section changed(IniSections.Section before, SortedMap<String, String> lines) {
+        Position position = new Position("merged", 0);
+        SortedMap<String, IniSections.Value> values = before == null ? new TreeMap<>() : new TreeMap<>(before.values());
+        lines.forEach((line, text) -> {
+            String key = line.substring(1);
+            if (line.startsWith(ADD)) {
+                values.put(key, new IniSections.Value(text, position));
+            } else {
+                values.remove(key);
+            }
+        });
+        return new IniSections.Section(position, values);
+    }
+
+    private static SortedMap<String, String> texts(IniSections.Section section) {
+        SortedMap<String, String> texts = new TreeMap<>();
+        if (section != null) {
+            section.values().forEach((key, value) -> texts.put(key, value.text()));
+        }
+        return texts;
+    }
+
+    private static Set<String> union(Set<String> left, Set<String> right) {
+        return List.of(left, right).stream().flatMap(Set::stream).collect(Collectors.toCollection(TreeSet::new));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/configuration/IniText.java
@@ -0,0 +1,34 @@
+package org.geraniumford.core.configuration;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/** The text of a single INI section, as kept in rows and blobs. */
+final class IniText {
+    private IniText() {}
+
+    // -- queries
+
+    static String encode(String section, Map<String, String> values) {
+        return new TreeMap<>(values)
+                .entrySet().stream()
+                        .map(entry -> entry.getKey() + " = " + entry.getValue() + "\n")
+                        .collect(Collectors.joining("", "[" + section + "]\n", ""));
+    }
+
+    static Optional<SortedMap<String, String>> decode(String section, String text) {
+        IniReader.Result result = IniReader.read(section, text);
+        return Optional.ofNullable(result.sections().sections().get(section))
+                .filter(found -> result.problems().isEmpty())
+                .map(found -> texts(found.values()));
+    }
+
+    private static SortedMap<String, String> texts(SortedMap<String, IniSections.Value> values) {
+        SortedMap<String, String> texts = new TreeMap<>();
+        values.forEach((key, value) -> texts.put(key, value.text()));
+        return texts;
+    }
+}
--- a/core/src/main/java/org/geraniumford/core/configuration/Spread.java
+++ b/core/src/main/java/org/geraniumford/core/configuration/Spread.java
@@ -13,10 +13,11 @@
  * @param fetchUntilMicros when the running fetch is given up; 0 if none runs
  * @param pollAtMicros when the head row is read next
  * @param failures how many polls failed in a row
+ * @param whole whether the next fetch takes the whole text, because a delta did not fit
  * @param random the state of the jitter
  */
-public record Spread(long held, long fetchUntilMicros, long pollAtMicros, int failures, long random) {
-    /** The time between two polls of the head row, before jitter, in microseconds. */
+public record Spread(long held, long fetchUntilMicros, long pollAtMicros, int failures, boolean whole, long random) {
+    /** The longest time between two polls of the head row, in microseconds. */
     public static final long POLL_MICROS = 5_000_000;
 
     /** The time after which a fetch is given up, in microseconds. */
@@ -51,7 +52,10 @@
          */
         record Loaded(long version) implements Event {}
 
-        /** A fetch brought nothing later. */
+        /** A peer that was asked holds nothing later. */
+        record NothingLater() implements Event {}
+
+        /** What a fetch brought cannot be used. */
         record FetchFailed() implements Event {}
 
         /**
@@ -74,9 +78,26 @@
          */
         record AskPeer(long newerThan) implements Action {}
 
+        /**
+         * Asks a few peers, because the store does not answer.
+         *
+         * @param newerThan the version held
+         */
+        record AskPeers(long newerThan) implements Action {}
+
         /** Reads the head row. */
         record ReadHead() implements Action {}
 
+        /**
+         * Reads the delta from the version held.
+         *
+         * @param head the head row that names it
+         */
+        record ReadDelta(ConfigurationHead head) implements Action {}
+
+        /** Tells a few peers of the version held. */
+        record Announce() implements Action {}
+
         /**
          * Reads the merged text.
          *
@@ -110,7 +131,7 @@
      * @return the first state
      */
     public static Spread start(boolean peers, long seed, long nowMicros) {
-        Spread blank = new Spread(0, 0, nowMicros, 0, seed).shuffled();
+        Spread blank = new Spread(0, 0, nowMicros, 0, false, seed).shuffled();
         long wait = peers ? PEER_GRACE_MICROS + blank.jitter(HERD_JITTER_MICROS) : blank.jitter(START_JITTER_MICROS);
         return blank.pollAt(nowMicros + wait);
     }
@@ -137,9 +158,11 @@
         if (event instanceof Event.PeerSeen seen) {
             return peerSeen(seen.version(), nowMicros);
         } else if (event instanceof Event.Loaded loaded) {
-            return idle(withHeld(Math.max(held, loaded.version())).fetchUntil(0).withFailures(0));
-        } else if (event instanceof Event.FetchFailed) {
+            return loaded(loaded.version());
+        } else if (event instanceof Event.NothingLater) {
             return idle(fetchUntil(0));
+        } else if (event instanceof Event.FetchFailed) {
+            return idle(fetchUntil(0).withWhole(true));
         } else if (event instanceof Event.HeadRead read) {
             return headRead(read.head(), nowMicros);
         } else if (event instanceof Event.StoreFailed) {
@@ -150,10 +173,15 @@
 
     // -- events
 
+    private Step loaded(long version) {
+        Spread next = fetchUntil(0).withFailures(0).withWhole(false);
+        return version <= held ? idle(next) : new Step(next.withHeld(version), List.of(new Action.Announce()));
+    }
+
     private Step peerSeen(long version, long nowMicros) {
         return version <= held || fetching()
                 ? idle(this)
-                : new Step(fetchUntil(nowMicros + FETCH_TIMEOUT_MICROS), List.of(new Action.AskPeer(held)));
+                : new Step(fetchUntil(nowMicros + FETCH_TIMEOUT_MICROS), List.of(new Action.AskPeer(whole ? 0 : held)));
     }
 
     private Step tick(long nowMicros) {
@@ -167,15 +195,24 @@
 
     private Step headRead(Optional<ConfigurationHead> head, long nowMicros) {
         Optional<ConfigurationHead> later = head.filter(found -> found.version() > held);
-        return later.map(found ->
-                        new Step(fetchUntil(nowMicros + FETCH_TIMEOUT_MICROS), List.of(new Action.ReadText(found))))
+        return later.map(found -> new Step(fetchUntil(nowMicros + FETCH_TIMEOUT_MICROS), List.of(read(found))))
                 .orElseGet(() -> idle(fetchUntil(0).withFailures(0)));
     }
 
+    private Action read(ConfigurationHead head) {
+        boolean delta = !whole
+                && held > 0
+                && head.version() == held + 1
+                && !head.deltaDigest().isEmpty();
+        return delta ? new Action.ReadDelta(head) : new Action.ReadText(head);
+    }
+
     private Step storeFailed(long nowMicros) {
         long wait = Math.min(POLL_MICROS, RETRY_MICROS << Math.min(failures, MAX_DOUBLINGS));
         long interval = held == 0 ? wait : POLL_MICROS;
-        return idle(fetchUntil(0).withFailures(failures + 1).nextPoll(interval, nowMicros));
+        return new Step(
+                fetchUntil(0).withFailures(failures + 1).nextPoll(interval, nowMicros),
+                List.of(new Action.AskPeers(whole ? 0 : held)));
     }
 
     // -- parts
@@ -186,7 +223,7 @@
 
     private Spread nextPoll(long interval, long nowMicros) {
         Spread shuffled = shuffled();
-        return shuffled.pollAt(nowMicros + interval / 2 + shuffled.jitter(interval));
+        return shuffled.pollAt(nowMicros + interval / 2 + shuffled.jitter(interval / 2));
     }
 
     private long jitter(long bound) {
@@ -196,22 +233,26 @@
     private Spread shuffled() {
         long mixed = (random + MIX_ADD) ^ (random >>> 30);
         mixed = mixed * MIX_MULTIPLY;
-        return new Spread(held, fetchUntilMicros, pollAtMicros, failures, mixed ^ (mixed >>> 27));
+        return new Spread(held, fetchUntilMicros, pollAtMicros, failures, whole, mixed ^ (mixed >>> 27));
     }
 
     private Spread withHeld(long version) {
-        return new Spread(version, fetchUntilMicros, pollAtMicros, failures, random);
+        return new Spread(version, fetchUntilMicros, pollAtMicros, failures, whole, random);
     }
 
     private Spread fetchUntil(long micros) {
-        return new Spread(held, micros, pollAtMicros, failures, random);
+        return new Spread(held, micros, pollAtMicros, failures, whole, random);
     }
 
     private Spread pollAt(long micros) {
-        return new Spread(held, fetchUntilMicros, micros, failures, random);
+        return new Spread(held, fetchUntilMicros, micros, failures, whole, random);
+    }
+
+    private Spread withWhole(boolean next) {
+        return new Spread(held, fetchUntilMicros, pollAtMicros, failures, next, random);
     }
 
     private Spread withFailures(int count) {
-        return new Spread(held, fetchUntilMicros, pollAtMicros, count, random);
+        return new Spread(held, fetchUntilMicros, pollAtMicros, count, whole, random);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/store/StoreRequest.java
@@ -0,0 +1,78 @@
+package org.geraniumford.core.store;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumford.core.verdict.RefusalException;
+import org.geraniumford.core.verdict.Verdict;
+
+/** What a decision asks the store to do. */
+public sealed interface StoreRequest {
+    /**
+     * Makes the request.
+     *
+     * @param store the store
+     * @return what the store answered; never a failure
+     */
+    CompletableFuture<StoreReply> perform(Store store);
+
+    /**
+     * Reads a row.
+     *
+     * @param table the table's name
+     * @param row the row's name
+     */
+    record ReadRow(String table, String row) implements StoreRequest {
+        @Override
+        public CompletableFuture<StoreReply> perform(Store store) {
+            return reply(store.row(table, row).thenApply(StoreReply.Row::new));
+        }
+    }
+
+    /**
+     * Reads a blob.
+     *
+     * @param digest the hexadecimal SHA-256 digest of its content
+     */
+    record ReadObject(String digest) implements StoreRequest {
+        @Override
+        public CompletableFuture<StoreReply> perform(Store store) {
+            return reply(store.object(digest).thenApply(StoreReply.Blob::new));
+        }
+    }
+
+    /**
+     * Writes a blob.
+     *
+     * @param digest the hexadecimal SHA-256 digest of its content
+     * @param content the content as text
+     */
+    record WriteObject(String digest, String content) implements StoreRequest {
+        @Override
+        public CompletableFuture<StoreReply> perform(Store store) {
+            return reply(store.putObject(digest, content).thenApply(done -> new StoreReply.Written()));
+        }
+    }
+
+    /**
+     * Applies all writes or none.
+     *
+     * @param operations the writes
+     */
+    record Transact(List<TableOperation> operations) implements StoreRequest {
+        /** Copies the list. */
+        public Transact {
+            operations = List.copyOf(operations);
+        }
+
+        @Override
+        public CompletableFuture<StoreReply> perform(Store store) {
+            return reply(store.transact(operations).thenApply(StoreReply.Transaction::new));
+        }
+    }
+
+    private static CompletableFuture<StoreReply> reply(CompletableFuture<? extends StoreReply> answer) {
+        return answer.handle((reply, failure) -> failure == null
+                ? reply
+                : new StoreReply.Failed(RefusalException.refusalOf(failure, Verdict.MAY_HAVE_RUN)));
+    }
+}
--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -263,6 +263,16 @@
      */
     record ConfigurationAnswer(long id, long version, String digest, String text) implements Message {}
 
+    /**
+     * Answers {@link ConfigurationRequest} of a peer that is one version behind.
+     *
+     * @param id the identifier asked with
+     * @param version the version of the configuration
+     * @param digest the hexadecimal SHA-256 digest of its merged text
+     * @param delta the change from the version before, in INI
+     */
+    record ConfigurationDelta(long id, long version, String digest, String delta) implements Message {}
+
     // -- operators
 
     /**
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/store/FaultyStore.java
@@ -0,0 +1,130 @@
+package org.geraniumford.core.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+
+/** A store in memory that answers at once, with a fault at chosen requests. Versions are never used again. */
+public final class FaultyStore {
+    private final Map<String, Map<String, TableRow>> tables = new HashMap<>();
+    private final Map<String, String> objects = new HashMap<>();
+    private final List<StoreRequest> delayed = new ArrayList<>();
+    private long lastVersion;
+
+    /** What happens to one request. */
+    public enum Fault {
+        /** Nothing. */
+        NONE,
+        /** The store is down and does nothing. */
+        OUTAGE,
+        /** The connection is lost before the request arrives. */
+        CUT_BEFORE,
+        /** The request takes effect, and its reply is lost. */
+        REPLY_LOST,
+        /** The connection is lost, and the request takes effect later. */
+        DELAYED;
+
+        /** Carries a request out under this fault. */
+        StoreReply reply(FaultyStore store, StoreRequest request) {
+            return switch (this) {
+                case NONE -> store.carryOut(request);
+                case OUTAGE -> new StoreReply.Failed(Refusal.notRun(Reason.STORE_UNAVAILABLE, "down"));
+                case CUT_BEFORE -> lost();
+                case REPLY_LOST -> {
+                    store.carryOut(request);
+                    yield lost();
+                }
+                case DELAYED -> {
+                    store.delayed.add(request);
+                    yield lost();
+                }
+            };
+        }
+
+        private static StoreReply lost() {
+            return new StoreReply.Failed(Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "lost"));
+        }
+    }
+
+    // -- commands
+
+    public StoreReply ask(StoreRequest request, Fault fault) {
+        return fault.reply(this, request);
+    }
+
+    public void deliverDelayed() {
+        List<StoreRequest> arrived = List.copyOf(delayed);
+        delayed.clear();
+        arrived.forEach(this::carryOut);
+    }
+
+    // -- queries
+
+    public Optional<TableRow> row(String table, String row) {
+        return Optional.ofNullable(table(table).get(row));
+    }
+
+    public Optional<String> object(String digest) {
+        return Optional.ofNullable(objects.get(digest));
+    }
+
+    // -- requests
+
+    private StoreReply carryOut(StoreRequest request) {
+        if (request instanceof StoreRequest.ReadRow read) {
+            return new StoreReply.Row(row(read.table(), read.row()));
+        } else if (request instanceof StoreRequest.ReadObject read) {
+            return new StoreReply.Blob(object(read.digest()));
+        } else if (request instanceof StoreRequest.WriteObject write) {
+            objects.put(write.digest(), write.content());
+            return new StoreReply.Written();
+        }
+        return new StoreReply.Transaction(transact(((StoreRequest.Transact) request).operations()));
+    }
+
+    private TransactionResult transact(List<TableOperation> operations) {
+        List<TransactionResult.Conflict> conflicts = operations.stream()
+                .filter(operation -> version(operation) != operation.expect())
+                .map(this::conflict)
+                .toList();
+        return conflicts.isEmpty()
+                ? new TransactionResult.Committed(
+                        operations.stream().map(this::write).toList())
+                : new TransactionResult.Conflicted(conflicts);
+    }
+
+    private long version(TableOperation operation) {
+        return row(operation.table(), operation.row()).map(TableRow::version).orElse(0L);
+    }
+
+    private TransactionResult.Conflict conflict(TableOperation operation) {
+        return new TransactionResult.Conflict(
+                operation.table(),
+                operation.row(),
+                version(operation),
+                row(operation.table(), operation.row()).map(TableRow::value));
+    }
+
+    private long write(TableOperation operation) {
+        Map<String, TableRow> table = table(operation.table());
+        if (operation.value().isEmpty()) {
+            table.remove(operation.row());
+            return 0;
+        }
+        lastVersion++;
+        table.put(
+                operation.row(),
+                new TableRow(operation.row(), lastVersion, operation.value().orElseThrow()));
+        return lastVersion;
+    }
+
+    private Map<String, TableRow> table(String name) {
+        return tables.computeIfAbsent(name, key -> new TreeMap<>());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/configuration/ConfigurationPublisher.java
@@ -0,0 +1,137 @@
+package org.geraniumford.daemon.configuration;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.geraniumford.core.configuration.ConfigurationFile;
+import org.geraniumford.core.configuration.ConfigurationHead;
+import org.geraniumford.core.configuration.FolderManifest;
+import org.geraniumford.core.configuration.Publication;
+import org.geraniumford.core.store.Store;
+import org.geraniumford.core.store.StoreRequest;
+import org.geraniumford.core.store.TableRow;
+
+/** What an operator's command does with the configuration in the platform's store. Thread-safe. */
+public final class ConfigurationPublisher {
+    private final Store store;
+
+    private ConfigurationPublisher(Store store) {
+        this.store = store;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a publisher.
+     *
+     * @param store the platform's store
+     * @return a publisher that does nothing until asked
+     */
+    public static ConfigurationPublisher of(Store store) {
+        return new ConfigurationPublisher(requireNonNull(store, "store is null"));
+    }
+
+    // -- queries
+
+    /**
+     * Reads which configuration is in force.
+     *
+     * @return the head, or empty if nothing was ever published
+     */
+    public CompletableFuture<Optional<ConfigurationHead>> head() {
+        return row(ConfigurationHead.ROW);
+    }
+
+    /**
+     * Reads the head of a version, also of an older one.
+     *
+     * @param version the version
+     * @return the head, or empty if there is no such version
+     */
+    public CompletableFuture<Optional<ConfigurationHead>> version(long version) {
+        return row(ConfigurationHead.historyRow(version));
+    }
+
+    /**
+     * Reads the versions after a given one, oldest first.
+     *
+     * @param after a version; 0 starts at the first one
+     * @param limit the largest number of versions
+     * @return their heads
+     */
+    public CompletableFuture<List<ConfigurationHead>> history(long after, int limit) {
+        return store.rows(ConfigurationHead.TABLE, ConfigurationHead.historyRow(after), limit)
+                .thenApply(rows -> rows.stream()
+                        .map(TableRow::value)
+                        .flatMap(value -> ConfigurationHead.decode(value).stream())
+                        .toList());
+    }
+
+    /**
+     * Reads the merged text of a version.
+     *
+     * @param head the version's head
+     * @return the text, or empty if the store lost it
+     */
+    public CompletableFuture<Optional<String>> text(ConfigurationHead head) {
+        return store.object(head.digest());
+    }
+
+    /**
+     * Reads the list of files of a version.
+     *
+     * @param head the version's head
+     * @return the manifest, or empty if the store lost it
+     */
+    public CompletableFuture<Optional<FolderManifest>> manifest(ConfigurationHead head) {
+        return store.object(head.manifestDigest()).thenApply(text -> text.flatMap(FolderManifest::decode));
+    }
+
+    /**
+     * Reads one file of a version.
+     *
+     * @param digest the file's digest from the manifest
+     * @return the file's text, or empty if the store lost it
+     */
+    public CompletableFuture<Optional<String>> file(String digest) {
+        return store.object(digest);
+    }
+
+    private CompletableFuture<Optional<ConfigurationHead>> row(String name) {
+        return store.row(ConfigurationHead.TABLE, name)
+                .thenApply(row -> row.map(TableRow::value).flatMap(ConfigurationHead::decode));
+    }
+
+    // -- commands
+
+    /**
+     * Puts a folder in force.
+     *
+     * @param files the whole folder
+     * @param baseVersion the version that the folder was edited from; empty for whatever is in force
+     * @param commitId names the change, unique across all operators
+     * @return what became of it; the future itself does not fail
+     */
+    public CompletableFuture<Publication.Outcome> apply(
+            List<ConfigurationFile> files, Optional<Long> baseVersion, String commitId) {
+        return drive(Publication.start(new Publication.Change(files, baseVersion, commitId)));
+    }
+
+    private CompletableFuture<Publication.Outcome> drive(Publication.Step step) {
+        if (step.action() instanceof Publication.Action.Finish finish) {
+            return CompletableFuture.completedFuture(finish.outcome());
+        } else if (step.action() instanceof Publication.Action.Wait wait) {
+            Executor later = CompletableFuture.delayedExecutor(wait.micros(), TimeUnit.MICROSECONDS);
+            return CompletableFuture.runAsync(() -> {}, later).thenCompose(done -> ask(step.next(), wait.request()));
+        }
+        return ask(step.next(), ((Publication.Action.Ask) step.action()).request());
+    }
+
+    private CompletableFuture<Publication.Outcome> ask(Publication publication, StoreRequest request) {
+        return request.perform(store).thenCompose(reply -> drive(publication.answered(reply)));
+    }
+}
--- a/daemon/src/main/java/org/geraniumford/daemon/configuration/ConfigurationSync.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/configuration/ConfigurationSync.java
@@ -15,6 +15,7 @@
 import org.geraniumford.core.configuration.ConfigurationHead;
 import org.geraniumford.core.configuration.ConfigurationHolder;
 import org.geraniumford.core.configuration.ConfigurationParser;
+import org.geraniumford.core.configuration.IniDelta;
 import org.geraniumford.core.configuration.ParsedConfiguration;
 import org.geraniumford.core.configuration.Sha256;
 import org.geraniumford.core.configuration.Spread;
@@ -42,13 +43,16 @@
     private final ConfigurationHolder holder;
     private final Store store;
     private final SeedLinks seedLinks = SeedLinks.of(this::received);
+    private final PeerLinks peers;
     private volatile boolean fetching;
     private volatile Duty<Input> duty;
     private Spread spread;
+    private Optional<Message.ConfigurationDelta> lastDelta = Optional.empty();
 
-    private ConfigurationSync(ConfigurationHolder holder, Store store, Spread spread) {
+    private ConfigurationSync(ConfigurationHolder holder, Store store, Spread spread, long seed) {
         this.holder = holder;
         this.store = store;
+        this.peers = PeerLinks.of(seed);
         this.spread = spread;
     }
 
@@ -70,7 +74,7 @@
         requireNonNull(store, "store is null");
         requireNonNull(network, "network is null");
         Spread first = Spread.start(!seeds.isEmpty(), seed, nowMicros());
-        ConfigurationSync sync = new ConfigurationSync(holder, store, first);
+        ConfigurationSync sync = new ConfigurationSync(holder, store, first, seed);
         sync.duty = Duty.start("configuration", RING, TICK, sync.new Handler());
         sample(seeds, seed).forEach(address -> sync.seedLinks.open(network, address));
         return sync;
@@ -97,9 +101,13 @@
             duty.offer(new Input.Asked(link, request));
             return true;
         } else if (message instanceof Message.ConfigurationAnswer answer) {
-            duty.offer(new Input.Answered(answer));
+            duty.offer(new Input.Arrived(answer.version(), answer.digest(), Optional.of(answer.text())));
+            return true;
+        } else if (message instanceof Message.ConfigurationDelta delta) {
+            duty.offer(new Input.DeltaArrived(delta.version(), delta.digest(), Optional.of(delta.delta())));
             return true;
         }
+        peers.seen(link);
         if (envelope.configurationVersion() > holder.version() && !fetching) {
             duty.offer(new Input.Seen(link, envelope.configurationVersion()));
         }
@@ -118,13 +126,13 @@
     private sealed interface Input {
         record Asked(Link link, Message.ConfigurationRequest request) implements Input {}
 
-        record Answered(Message.ConfigurationAnswer answer) implements Input {}
-
         record Seen(Link link, long version) implements Input {}
 
         record Read(Optional<TableRow> row) implements Input {}
 
-        record Fetched(ConfigurationHead head, Optional<String> text) implements Input {}
+        record Arrived(long version, String digest, Optional<String> text) implements Input {}
+
+        record DeltaArrived(long version, String digest, Optional<String> delta) implements Input {}
 
         record Failed(Throwable failure) implements Input {}
     }
@@ -136,18 +144,12 @@
                 answer(asked.link(), asked.request());
             } else if (input instanceof Input.Seen seen) {
                 apply(new Spread.Event.PeerSeen(seen.version()), Optional.of(seen.link()));
-            } else if (input instanceof Input.Answered answered) {
-                load(
-                        answered.answer().version(),
-                        answered.answer().digest(),
-                        answered.answer().text());
+            } else if (input instanceof Input.Arrived arrived) {
+                load(arrived.version(), arrived.digest(), arrived.text().orElse(""));
+            } else if (input instanceof Input.DeltaArrived arrived) {
+                loadDelta(arrived.version(), arrived.digest(), arrived.delta().orElse(""));
             } else if (input instanceof Input.Read read) {
                 apply(headRead(read.row()), Optional.empty());
-            } else if (input instanceof Input.Fetched fetched) {
-                load(
-                        fetched.head().version(),
-                        fetched.head().digest(),
-                        fetched.text().orElse(""));
             } else if (input instanceof Input.Failed failed) {
                 storeFailed(failed.failure());
             }
@@ -169,12 +171,23 @@
     private void perform(Spread.Action action, Optional<Link> peer) {
         if (action instanceof Spread.Action.AskPeer ask) {
             peer.ifPresent(link -> link.send(new Message.ConfigurationRequest(ask.newerThan(), ask.newerThan())));
+        } else if (action instanceof Spread.Action.AskPeers ask) {
+            peers.tell(new Message.ConfigurationRequest(0, ask.newerThan()));
         } else if (action instanceof Spread.Action.ReadHead) {
             store.row(ConfigurationHead.TABLE, ConfigurationHead.ROW)
                     .whenComplete((row, failure) -> offer(failure, () -> new Input.Read(row)));
         } else if (action instanceof Spread.Action.ReadText read) {
-            store.object(read.head().digest())
-                    .whenComplete((text, failure) -> offer(failure, () -> new Input.Fetched(read.head(), text)));
+            ConfigurationHead head = read.head();
+            store.object(head.digest())
+                    .whenComplete((text, failure) ->
+                            offer(failure, () -> new Input.Arrived(head.version(), head.digest(), text)));
+        } else if (action instanceof Spread.Action.ReadDelta read) {
+            ConfigurationHead head = read.head();
+            store.object(head.deltaDigest())
+                    .whenComplete((text, failure) ->
+                            offer(failure, () -> new Input.DeltaArrived(head.version(), head.digest(), text)));
+        } else if (action instanceof Spread.Action.Announce) {
+            peers.tell(new Message.Ping(0));
         }
     }
 
@@ -203,7 +216,22 @@
         apply(new Spread.Event.StoreFailed(), Optional.empty());
     }
 
+    private void loadDelta(long version, String digest, String delta) {
+        Configuration held = holder.current();
+        Optional<String> text = IniDelta.decode(delta)
+                .filter(found -> held.version() + 1 == version)
+                .map(found -> found.applyTo(held.text()));
+        load(version, digest, text.orElse(""));
+        if (holder.version() == version) {
+            lastDelta = Optional.of(new Message.ConfigurationDelta(0, version, digest, delta));
+        }
+    }
+
     private void load(long version, String digest, String text) {
+        if (version == 0) {
+            apply(new Spread.Event.NothingLater(), Optional.empty());
+            return;
+        }
         Optional<Configuration> configuration = configuration(version, digest, text);
         configuration.filter(holder::offer).ifPresent(this::loaded);
         apply(
@@ -214,9 +242,6 @@
     }
 
     private static Optional<Configuration> configuration(long version, String digest, String text) {
-        if (version == 0) {
-            return Optional.empty();
-        }
         if (Sha256.hex(text).equals(digest)
                 && ConfigurationParser.parse(version, text) instanceof ParsedConfiguration.Accepted accepted) {
             return Optional.of(accepted.configuration());
@@ -235,11 +260,15 @@
 
     private void answer(Link link, Message.ConfigurationRequest request) {
         Configuration held = holder.current();
-        boolean newer = held.version() > request.newerThan();
-        link.send(
-                newer
-                        ? new Message.ConfigurationAnswer(request.id(), held.version(), held.digest(), held.text())
-                        : new Message.ConfigurationAnswer(request.id(), 0, "", ""));
+        Optional<Message.ConfigurationDelta> delta =
+                lastDelta.filter(last -> last.version() == held.version() && last.version() == request.newerThan() + 1);
+        if (delta.isPresent()) {
+            link.send(delta.orElseThrow());
+        } else if (held.version() > request.newerThan()) {
+            link.send(new Message.ConfigurationAnswer(request.id(), held.version(), held.digest(), held.text()));
+        } else {
+            link.send(new Message.ConfigurationAnswer(request.id(), 0, "", ""));
+        }
     }
 
     private static long nowMicros() {
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/configuration/PeerLinks.java
@@ -0,0 +1,48 @@
+package org.geraniumford.daemon.configuration;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+
+/** The open links on which a peer spoke, of which a few are told or asked of a later configuration. */
+final class PeerLinks {
+    /** How many peers each process tells or asks at once. */
+    static final int FAN_OUT = 3;
+
+    private static final int MAX_LINKS = 1024;
+
+    private final Set<Link> links = ConcurrentHashMap.newKeySet();
+    private final Random random;
+
+    private PeerLinks(long seed) {
+        this.random = new Random(seed);
+    }
+
+    // -- construction
+
+    static PeerLinks of(long seed) {
+        return new PeerLinks(seed);
+    }
+
+    // -- commands
+
+    /** Notes a link; any thread. */
+    void seen(Link link) {
+        if (links.size() < MAX_LINKS) {
+            links.add(link);
+        }
+    }
+
+    /** Sends a message, which carries the own version, to a few peers; one thread only. */
+    void tell(Message message) {
+        links.removeIf(link -> !link.open());
+        List<Link> shuffled = new ArrayList<>(links);
+        Collections.shuffle(shuffled, random);
+        shuffled.stream().limit(FAN_OUT).forEach(link -> link.send(message));
+    }
+}
--- a/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
@@ -28,6 +28,7 @@
     TOKEN_ANSWER(33, Message.TokenAnswer.class),
     CONFIGURATION_REQUEST(40, Message.ConfigurationRequest.class),
     CONFIGURATION_ANSWER(41, Message.ConfigurationAnswer.class),
+    CONFIGURATION_DELTA(42, Message.ConfigurationDelta.class),
     DRAIN(50, Message.Drain.class),
     STATUS_REQUEST(51, Message.StatusRequest.class),
     STATUS_ANSWER(52, Message.StatusAnswer.class);
