Entries and sidecars start from the command line; the entry has its operator port

Cause: the subcommands ended with 'not part of this build'. Ruled out: an operator port inside EntryDaemon, which would tie it to one way to be run.

--- a/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
@@ -1,10 +1,13 @@
 package org.geraniumford.daemon.command;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.geraniumford.daemon.process.EntryProcess;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.daemon.settings.SettingsLoader;
 import org.geraniumford.daemon.settings.SidecarSettings;
+import org.geraniumford.daemon.sidecar.SidecarDaemon;
 
 /** The subcommands in the order of the help text. */
 final class Commands {
@@ -16,19 +19,65 @@
                         SettingsLoader.ENTRY,
                         "Serves callers on an entry host.",
                         EntrySettings::drainTimeout,
-                        settings -> missing()),
+                        settings -> EntryProcess.start(settings).thenApply(RunningEntry::new)),
                 new DaemonCommand<>(
                         SettingsLoader.SIDECAR,
                         "Stands in front of one backend server on its host.",
                         SidecarSettings::drainTimeout,
-                        settings -> missing()),
+                        settings -> SidecarDaemon.start(settings).thenApply(RunningSidecar::new)),
                 new StatusCommand(),
                 new ExplainCommand(),
                 new DrainCommand(),
                 new SettingsCommand());
     }
 
-    private static CompletableFuture<RunningDaemon> missing() {
-        return CompletableFuture.failedFuture(new IllegalStateException("not part of this build"));
+    private static String endpoint(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ':' + address.getPort();
+    }
+
+    private record RunningEntry(EntryProcess process) implements RunningDaemon {
+        @Override
+        public String addresses() {
+            return "caller=" + endpoint(process.callerAddress())
+                    + " operator=" + endpoint(process.operatorAddress())
+                    + " link=" + endpoint(process.linkAddress());
+        }
+
+        @Override
+        public CompletableFuture<Void> drain() {
+            return process.drain();
+        }
+
+        @Override
+        public CompletableFuture<Void> closed() {
+            return process.closed();
+        }
+
+        @Override
+        public void close() {
+            process.close();
+        }
+    }
+
+    private record RunningSidecar(SidecarDaemon daemon) implements RunningDaemon {
+        @Override
+        public String addresses() {
+            return "operator=" + endpoint(daemon.operatorAddress()) + " link=" + endpoint(daemon.linkAddress());
+        }
+
+        @Override
+        public CompletableFuture<Void> drain() {
+            return daemon.drain();
+        }
+
+        @Override
+        public CompletableFuture<Void> closed() {
+            return daemon.closed();
+        }
+
+        @Override
+        public void close() {
+            daemon.close();
+        }
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -12,6 +11,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -24,6 +24,7 @@
 import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
+import org.geraniumford.daemon.operator.ProcessStatus;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.transport.http.HttpServer;
 import org.geraniumford.transport.link.LinkIdentity;
@@ -164,10 +165,30 @@
      *
      * @return the registry of the entry's meters
      */
-    public MeterRegistry registry() {
+    public PrometheusMeterRegistry registry() {
         return registry;
     }
 
+    /**
+     * Describes the entry and the processes that it is connected to.
+     *
+     * @return the present state
+     */
+    public ProcessStatus status() {
+        return new ProcessStatus(
+                settings.processId(),
+                Role.ENTRY.name().toLowerCase(Locale.ROOT),
+                settings.failureDomain(),
+                incarnation,
+                ready(),
+                inFlight.draining(),
+                configurations.version(),
+                inFlight.count(),
+                0,
+                0,
+                peers.all().stream().map(Peer::status).toList());
+    }
+
     /**
      * Returns why requests went where they went.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/Peer.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/Peer.java
@@ -1,9 +1,11 @@
 package org.geraniumford.daemon.entry;
 
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Optional;
 import org.geraniumford.core.routing.Backend;
 import org.geraniumford.core.wire.Message;
+import org.geraniumford.daemon.operator.HostStatus;
 import org.geraniumford.transport.link.Link;
 
 /**
@@ -56,6 +58,21 @@
                         known.estimatedWaitMicros()));
     }
 
+    /** Describes the peer to operators. */
+    HostStatus status() {
+        return new HostStatus(
+                host(),
+                hello.role().name().toLowerCase(Locale.ROOT),
+                address.getHostString() + ':' + address.getPort(),
+                hello.failureDomain(),
+                link.open(),
+                state.map(Message.SidecarState::leaving).orElse(false),
+                incarnation,
+                state.map(Message.SidecarState::backendIncarnation).orElse(0L),
+                0,
+                waitMicros());
+    }
+
     // -- transitions
 
     Peer with(Message.SidecarState next) {
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/process/EntryProcess.java
@@ -0,0 +1,152 @@
+package org.geraniumford.daemon.process;
+
+import static java.util.Objects.requireNonNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.geraniumford.core.close.Closer;
+import org.geraniumford.daemon.entry.EntryDaemon;
+import org.geraniumford.daemon.operator.OperatorServer;
+import org.geraniumford.daemon.operator.OperatorSource;
+import org.geraniumford.daemon.operator.ProcessStatus;
+import org.geraniumford.daemon.settings.EntrySettings;
+
+/** An entry with its operator port. */
+public final class EntryProcess implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int OPERATOR_THREADS = 1;
+    private static final long GROUP_STOP_SECONDS = 1;
+
+    private final EntryDaemon daemon;
+    private final OperatorServer operators;
+    private final Closer closer;
+
+    private EntryProcess(EntryDaemon daemon, OperatorServer operators, Closer closer) {
+        this.daemon = daemon;
+        this.operators = operators;
+        this.closer = closer;
+    }
+
+    // -- construction
+
+    /**
+     * Starts an entry and its operator port.
+     *
+     * @param settings its settings
+     * @return the running process, or the failure to start it
+     */
+    public static CompletableFuture<EntryProcess> start(EntrySettings settings) {
+        requireNonNull(settings, "settings is null");
+        Closer closer = Closer.empty();
+        return EntryDaemon.start(settings)
+                .thenApply(closer::add)
+                .thenCompose(daemon -> withOperators(daemon, settings, closer))
+                .whenComplete((process, failure) -> {
+                    if (failure != null) {
+                        CompletableFuture.runAsync(closer::close);
+                    }
+                });
+    }
+
+    private static CompletableFuture<EntryProcess> withOperators(
+            EntryDaemon daemon, EntrySettings settings, Closer closer) {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(OPERATOR_THREADS, NioIoHandler.newFactory());
+        closer.add(() -> group.shutdownGracefully(0, GROUP_STOP_SECONDS, TimeUnit.SECONDS));
+        return OperatorServer.start(group, settings.operatorAddress(), daemon.registry(), new Source(daemon))
+                .thenApply(closer::add)
+                .thenApply(operators -> new EntryProcess(daemon, operators, closer));
+    }
+
+    // -- queries
+
+    /**
+     * Returns where callers connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress callerAddress() {
+        return daemon.callerAddress();
+    }
+
+    /**
+     * Returns where the router's other processes connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress linkAddress() {
+        return daemon.linkAddress();
+    }
+
+    /**
+     * Returns where operators connect.
+     *
+     * @return the bound address and port
+     */
+    public InetSocketAddress operatorAddress() {
+        return operators.address();
+    }
+
+    /**
+     * Returns when the entry has ended.
+     *
+     * @return done once the entry is closed
+     */
+    public CompletableFuture<Void> closed() {
+        return daemon.closed();
+    }
+
+    // -- commands
+
+    /**
+     * Refuses new requests and finishes the others.
+     *
+     * @return done once the entry is closed
+     */
+    public CompletableFuture<Void> drain() {
+        return daemon.drain();
+    }
+
+    /** Closes the entry and its operator port at once. */
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    /** What the operator port tells of an entry. */
+    private record Source(EntryDaemon daemon) implements OperatorSource {
+        @Override
+        public boolean ready() {
+            return daemon.ready();
+        }
+
+        @Override
+        public ProcessStatus status() {
+            return daemon.status();
+        }
+
+        @Override
+        public Optional<String> explain(String requestId) {
+            return daemon.records().find(requestId).map(Source::json);
+        }
+
+        @Override
+        public CompletableFuture<Void> drain() {
+            return daemon.drain();
+        }
+
+        private static String json(Object value) {
+            try {
+                return JSON.writeValueAsString(value);
+            } catch (JsonProcessingException e) {
+                throw new IllegalStateException("a record is always JSON", e);
+            }
+        }
+    }
+}
