--- a/daemon/src/main/java/org/geraniumford/daemon/entry/IdempotentCalls.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/IdempotentCalls.java
@@ -29,25 +29,29 @@
             Refusal refusal = Refusal.notRun(Reason.STORE_UNAVAILABLE, "no claim can be recorded");
             return CompletableFuture.failedFuture(refusal.toException());
         }
-        return attempt(request, new AttemptId(request.requestId(), 1));
+        return attempt(request, new AttemptId(request.requestId(), 1), Verdict.NOT_RUN);
     }
 
-    private CompletableFuture<Message.CallResult> attempt(ServiceRequest request, AttemptId id) {
+    /** Makes one attempt; the verdict is what the attempts before it say together. */
+    private CompletableFuture<Message.CallResult> attempt(ServiceRequest request, AttemptId id, Verdict before) {
         List<String> hosts = gateway.candidates(request.service().name());
         if (hosts.isEmpty()) {
-            Refusal refusal = Refusal.notRun(Reason.NO_BACKEND, "no live host serves the service");
+            Refusal refusal = Refusal.of(Reason.NO_BACKEND, before, "no live host serves the service");
             return CompletableFuture.failedFuture(refusal.toException());
         }
         String host = hosts.get((id.attempt() - 1) % hosts.size());
-        return gateway.call(host, message(request, id)).exceptionallyCompose(failure -> again(request, id, failure));
+        return gateway.call(host, message(request, id))
+                .exceptionallyCompose(failure -> again(request, id, before, failure));
     }
 
-    private CompletableFuture<Message.CallResult> again(ServiceRequest request, AttemptId id, Throwable failure) {
+    private CompletableFuture<Message.CallResult> again(
+            ServiceRequest request, AttemptId id, Verdict before, Throwable failure) {
         Refusal refusal = RefusalException.refusalOf(failure, Verdict.MAY_HAVE_RUN);
+        Verdict worst = before.compareTo(refusal.verdict()) > 0 ? before : refusal.verdict();
         RetryDecision decision = retries.decide(refusal, true, id.attempt(), true);
         return decision == RetryDecision.RETRY
-                ? attempt(request, id.next())
-                : CompletableFuture.failedFuture(refusal.toException());
+                ? attempt(request, id.next(), worst)
+                : CompletableFuture.failedFuture(refusal.withVerdict(worst).toException());
     }
 
     private static Message.Call message(ServiceRequest request, AttemptId id) {
--- a/daemon/src/test/java/org/geraniumford/daemon/entry/EntryDaemonTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/EntryDaemonTest.java
@@ -8,6 +8,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -115,7 +116,7 @@
             if (message instanceof Message.Submit submit) {
                 FakeSidecar.start(link, submit);
                 FakeSidecar.tokens(link, submit, submit.resumeOffset(), submit.resumeOffset() + 1);
-                link.send(new Message.Chunk(submit.id(), submit.resumeOffset() + 9, java.util.List.of("gap")));
+                link.send(new Message.Chunk(submit.id(), submit.resumeOffset() + 9, List.of("gap")));
             }
         });
         String body = fixture.send(fixture.chat(",\"max_tokens\":100,\"stream\":true"))
