Frozen hosts and wrong weights in the fault table; less memory held by long answers

Cause: on a scratch copy two mutations passed the table: without the ping timeout the progress timeout made up for it, and an engine with other weights sent the right tokens. Change: tests of both timeouts by themselves, and wrong tokens from wrong weights.

--- a/core/src/test/java/org/geraniumford/core/request/Fault.java
+++ b/core/src/test/java/org/geraniumford/core/request/Fault.java
@@ -55,7 +55,8 @@
         @Override
         List<Message> arrives(List<Message> frames, int at, AttemptId id) {
             Message wrong = new Message.Started(id, 1, "w0", 0);
-            return Stream.concat(Stream.of(wrong), frames.stream().skip(1)).toList();
+            return Stream.concat(Stream.of(wrong), frames.stream().skip(1).map(Fault::fromOtherWeights))
+                    .toList();
         }
     },
     FRAME_MISSING {
@@ -116,6 +117,12 @@
         }
     };
 
+    private static Message fromOtherWeights(Message frame) {
+        return frame instanceof Message.Chunk chunk
+                ? new Message.Chunk(chunk.id(), chunk.offset(), List.of("wrong"))
+                : frame;
+    }
+
     boolean appliesAt(Step step) {
         return step.compareTo(Step.SUBMIT) >= 0;
     }
--- a/core/src/test/java/org/geraniumford/core/request/RequestMachineFaultTest.java
+++ b/core/src/test/java/org/geraniumford/core/request/RequestMachineFaultTest.java
@@ -70,6 +70,36 @@
         }
     }
 
+    // -- frozen hosts
+
+    @Test
+    void shouldLeaveAHostThatDoesNotAnswerAPing() {
+        FaultyWorld world = running();
+        String frozen = host(world);
+        world.pass(Duration.ofMillis(500));
+        world.send(new RequestEvent.Tick());
+        assertThat(world.actions).contains(new RequestAction.Ping(frozen));
+        world.pass(Duration.ofSeconds(1));
+        world.send(new RequestEvent.Tick());
+        assertThat(world.actions).contains(new RequestAction.Suspect(frozen), new RequestAction.Retry(Reason.TIMEOUT));
+        assertCancelled(world);
+    }
+
+    @Test
+    void shouldLeaveAHostThatAnswersPingsButMakesNoProgress() {
+        FaultyWorld world = running();
+        String stuck = host(world);
+        for (int second = 0; second < 30; second++) {
+            world.pass(Duration.ofSeconds(1));
+            world.send(new RequestEvent.Heard(stuck));
+            world.send(new RequestEvent.Tick());
+        }
+        assertThat(world.actions)
+                .contains(new RequestAction.Retry(Reason.TIMEOUT))
+                .doesNotContain(new RequestAction.Suspect(stuck));
+        assertCancelled(world);
+    }
+
     // -- the caller
 
     @Test
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryMetrics.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryMetrics.java
@@ -67,7 +67,7 @@
         dropped.get(placement).increment();
     }
 
-    /** Records the time from accepting a request to having its key, without the probe. */
+    /** Records the time from accepting a request until its first probe or submit is written. */
     void accepted(long nanos) {
         accepted.record(nanos, TimeUnit.NANOSECONDS);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
@@ -22,6 +22,7 @@
 /** Drives the state machines of a part of an entry's model requests. All state belongs to its duty's thread. */
 final class ModelShard implements DutyHandler<ShardEvent> {
     private static final int HINT_CAPACITY = 16_384;
+    private static final int TICKS_PER_WATCH = 10;
 
     private final ShardParts parts;
     private final Map<String, ActiveRequest> active = new HashMap<>();
@@ -29,6 +30,7 @@
     private final HintCache hints = HintCache.ofCapacity(HINT_CAPACITY);
     private final SplittableRandom random;
     private final ActionRunner runner;
+    private long ticks;
     private RetryBudget budget = RetryBudget.start(System.nanoTime());
 
     /**
@@ -81,7 +83,11 @@
 
     @Override
     public void tick() {
-        List.copyOf(active.values()).forEach(this::tick);
+        ticks++;
+        boolean watch = ticks % TICKS_PER_WATCH == 0;
+        List.copyOf(active.values()).stream()
+                .filter(request -> watch || !(request.state().phase() instanceof Phase.Running))
+                .forEach(this::tick);
         probes.expire(System.nanoTime());
     }
 
@@ -106,6 +112,7 @@
         try {
             CallerRequest body = CallerRequestReader.read(
                     arrival.format(), arrival.exchange().bodyText());
+            arrival.exchange().discardBody();
             start(arrival, body, parts.specs().spec(arrival, body, random.nextLong()));
         } catch (RefusalException e) {
             refuse(arrival, e.refusal());
@@ -118,13 +125,12 @@
     }
 
     private void start(Arrival arrival, CallerRequest body, RequestSpec spec) {
-        long now = System.nanoTime();
-        parts.metrics().accepted(now - arrival.acceptedNanos());
-        budget = budget.request(now);
+        budget = budget.request(System.nanoTime());
         ActiveRequest request =
                 ActiveRequest.of(Answer.of(arrival.exchange(), arrival.format(), arrival.requestId(), body));
         active.put(spec.requestId(), request);
         run(request, parts.machine().start(spec, context(spec)));
+        parts.metrics().accepted(System.nanoTime() - arrival.acceptedNanos());
     }
 
     private void onRequest(String requestId, RequestEvent event) {
--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
@@ -30,12 +30,13 @@
     public static final String JSON = "application/json";
 
     private static final String EVENT_STREAM = "text/event-stream";
+    private static final byte[] EMPTY_BODY = {};
 
     private final ChannelHandlerContext context;
     private final String method;
     private final String uri;
     private final HttpHeaders headers;
-    private final byte[] body;
+    private volatile byte[] body;
     private final boolean keepAlive;
     private final Runnable ended;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
@@ -119,6 +120,11 @@
         return body.clone();
     }
 
+    /** Lets go of the body, so that a long answer does not keep it; it is empty from now on. */
+    public void discardBody() {
+        body = EMPTY_BODY;
+    }
+
     // -- whole answers
 
     /**
