--- a/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.geraniumford.core.configuration.Publication;
 import org.geraniumford.trials.deployment.SettingsFiles.DaemonHost;
 import org.geraniumford.trials.deployment.SettingsFiles.Listen;
 
@@ -63,12 +64,7 @@
         for (int i = 0; i < plan.services().size(); i++) {
             startService(plan.services().get(i), i);
         }
-        command(
-                "config",
-                "apply",
-                "--platform",
-                platformAddress(),
-                plan.configuration().toString());
+        applyConfiguration();
         for (int i = 0; i < plan.entries(); i++) {
             startEntry(i, Listen.free());
         }
@@ -209,6 +205,18 @@
 
     // -- commands
 
+    /**
+     * Puts the plan's configuration folder in force.
+     *
+     * @throws IOException if the folder is not accepted
+     */
+    public void applyConfiguration() throws IOException {
+        Publication.Outcome outcome = ConfigurationFolder.publish(platformAddress(), plan.configuration());
+        if (!(outcome instanceof Publication.Outcome.Applied)) {
+            throw new IOException("the configuration was not applied: " + outcome);
+        }
+    }
+
     /**
      * Runs an operator's command and waits for it.
      *
