Sidecar: configuration, host list, in-process tests against the stand-in engine

Change: the sidecar keeps the configuration by ConfigurationSync and refuses new work while the platform lists its host as leaving. SidecarDaemonTest drives a real sidecar and the stand-in engine over loopback: order, credit, cache isolation, incarnations, cut streams, drain.

--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
@@ -17,9 +17,13 @@
 import org.geraniumford.core.cache.CacheIndex;
 import org.geraniumford.core.cache.GapPolicy;
 import org.geraniumford.core.close.Closer;
+import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.core.membership.HostState;
 import org.geraniumford.core.tokens.TokenRegister;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
+import org.geraniumford.daemon.configuration.ConfigurationSync;
+import org.geraniumford.daemon.membership.HostDirectory;
 import org.geraniumford.daemon.settings.SidecarSettings;
 import org.geraniumford.transport.duty.Duty;
 import org.geraniumford.transport.engine.BackendHttp;
@@ -27,6 +31,8 @@
 import org.geraniumford.transport.engine.EngineClient;
 import org.geraniumford.transport.engine.PortCheck;
 import org.geraniumford.transport.engine.ServiceClient;
+import org.geraniumford.transport.link.LinkNetwork;
+import org.geraniumford.transport.platform.PlatformClient;
 
 /** Creates the parts of one sidecar and joins them by its ring. */
 final class SidecarAssembly {
@@ -58,9 +64,13 @@
         return group;
     }
 
+    /** Creates the client for both the backend server and the platform. */
+    AsyncHttpClient http() {
+        return closer.add(BackendHttp.create(CLIENT_THREADS));
+    }
+
     /** Creates the duty's work; the ring takes events once {@link #run} was called. */
-    SidecarDuty handler(EventLoopGroup group, SidecarMetrics metrics) {
-        AsyncHttpClient http = closer.add(BackendHttp.create(CLIENT_THREADS));
+    SidecarDuty handler(EventLoopGroup group, AsyncHttpClient http, SidecarMetrics metrics) {
         Engine engine = EngineClient.of(settings.backend(), http);
         ServiceClient service = ServiceClient.of(settings.backend(), http);
         CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
@@ -90,6 +100,23 @@
         duty.set(closer.add(Duty.start("sidecar", RING_EVENTS, TICK, handler)));
     }
 
+    /** Keeps the configuration up to date. */
+    ConfigurationSync configuration(ConfigurationHolder holder, PlatformClient platform, LinkNetwork network) {
+        return closer.add(ConfigurationSync.start(holder, platform, network, settings.seeds(), incarnation));
+    }
+
+    /** Follows what the platform's host list says of this host. */
+    void followHostList(PlatformClient platform) {
+        HostDirectory hosts = closer.add(HostDirectory.start(platform, incarnation));
+        hosts.onChange(() -> Delivery.untilTaken(this::offer, new SidecarEvent.Listed(listedLeaving(hosts))));
+    }
+
+    private boolean listedLeaving(HostDirectory hosts) {
+        return hosts.hosts().stream()
+                .filter(host -> host.name().equals(settings.processId()))
+                .anyMatch(host -> host.state() == HostState.LEAVING);
+    }
+
     /** Asks the duty to take no new work; the future is done once everything that runs has finished. */
     CompletableFuture<Void> leave() {
         CompletableFuture<Void> finished = new CompletableFuture<>();
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
@@ -7,8 +7,10 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncHttpClient;
 import org.geraniumford.core.close.Closer;
 import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.daemon.configuration.ConfigurationSync;
 import org.geraniumford.daemon.settings.SidecarSettings;
 import org.geraniumford.transport.http.HttpLimits;
 import org.geraniumford.transport.http.HttpServer;
@@ -16,6 +18,7 @@
 import org.geraniumford.transport.link.LinkListener;
 import org.geraniumford.transport.link.LinkNetwork;
 import org.geraniumford.transport.log.LogEvent;
+import org.geraniumford.transport.platform.PlatformClient;
 
 /** The process beside one backend server: it alone passes requests on and decides which to refuse. */
 public final class SidecarDaemon implements AutoCloseable {
@@ -55,15 +58,19 @@
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         SidecarMetrics metrics = SidecarMetrics.of(registry);
         EventLoopGroup group = parts.network();
-        SidecarDuty handler = parts.handler(group, metrics);
+        AsyncHttpClient http = parts.http();
+        SidecarDuty handler = parts.handler(group, http, metrics);
         parts.run(handler);
         ConfigurationHolder configuration = ConfigurationHolder.empty();
         LinkNetwork network =
                 LinkNetwork.of(group, new LinkIdentity(parts.hello(), parts.incarnation(), configuration::version));
+        PlatformClient platform = PlatformClient.of(settings.platform(), http);
+        ConfigurationSync sync = parts.configuration(configuration, platform, network);
+        parts.followHostList(platform);
         CompletableFuture<SidecarDaemon> started = new CompletableFuture<>();
         Runnable drain = () -> started.thenAccept(SidecarDaemon::drain);
         OperatorService service = OperatorService.of(handler::status, registry, drain);
-        return network.listen(settings.linkAddress(), SidecarLinks.of(parts::offer, metrics))
+        return network.listen(settings.linkAddress(), SidecarLinks.of(parts::offer, sync::received, metrics))
                 .thenApply(closer::add)
                 .thenCompose(
                         links -> HttpServer.start(group, settings.operatorAddress(), HttpLimits.standard(), service)
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDuty.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDuty.java
@@ -26,7 +26,7 @@
     private final Set<Peer> peers = new LinkedHashSet<>();
     private final Map<Class<? extends Message>, BiConsumer<Peer, Message>> handlers;
     private BackendState backend;
-    private boolean leaving;
+    private boolean listedLeaving;
     private Optional<CompletableFuture<Void>> finished = Optional.empty();
     private volatile SidecarStatus status;
 
@@ -47,7 +47,7 @@
         this.backend = BackendState.down(service);
         this.status = newStatus();
         this.handlers = Map.ofEntries(
-                on(Message.Probe.class, (peer, probe) -> models.probe(peer, probe, backend, leaving)),
+                on(Message.Probe.class, (peer, probe) -> models.probe(peer, probe, backend, leaving())),
                 on(Message.Submit.class, this::submit),
                 on(Message.Credit.class, (peer, credit) -> models.credit(credit)),
                 on(Message.Cancel.class, (peer, cancel) -> models.cancel(cancel.id())),
@@ -109,7 +109,7 @@
     }
 
     private void submit(Peer peer, Message.Submit submit) {
-        if (leaving) {
+        if (leaving()) {
             models.refused(ModelAttempt.of(peer, submit), leavingRefusal());
         } else {
             models.submit(peer, submit, backend);
@@ -117,7 +117,7 @@
     }
 
     private void call(Peer peer, Message.Call call) {
-        if (leaving) {
+        if (leaving()) {
             calls.refuse(peer, call.id(), leavingRefusal());
         } else if (backend.service().isEmpty()) {
             calls.refuse(peer, call.id(), Refusal.notRun(Reason.UNKNOWN_SERVICE, "no plain service is served here"));
@@ -177,19 +177,33 @@
 
     /** Takes no new work from now on, and completes the future once everything that runs has finished. */
     void leave(CompletableFuture<Void> whenFinished) {
+        boolean before = leaving();
         finished.ifPresent(earlier -> earlier.thenRun(() -> whenFinished.complete(null)));
         finished = finished.or(() -> Optional.of(whenFinished));
-        if (!leaving) {
-            leaving = true;
-            LogEvent.of("leaving").with("running", models.running()).info();
+        leavingChanged(before);
+        finishLeaving();
+    }
+
+    /** Takes no new work while the platform lists this host as leaving. */
+    void listed(boolean asLeaving) {
+        boolean before = leaving();
+        listedLeaving = asLeaving;
+        leavingChanged(before);
+    }
+
+    private void leavingChanged(boolean before) {
+        if (before != leaving()) {
+            LogEvent.of("leaving_changed")
+                    .with("leaving", leaving())
+                    .with("running", models.running())
+                    .info();
             broadcastState();
         }
-        finishLeaving();
     }
 
     private void finishLeaving() {
         boolean idle = models.waiting() + models.running() + calls.size() == 0;
-        if (leaving && idle && peers.stream().allMatch(Peer::flushed)) {
+        if (idle && peers.stream().allMatch(Peer::flushed)) {
             finished.ifPresent(future -> future.complete(null));
         }
     }
@@ -213,15 +227,19 @@
         return status;
     }
 
+    private boolean leaving() {
+        return listedLeaving || finished.isPresent();
+    }
+
     private Message.SidecarState state() {
-        return backend.message(leaving, models.estimatedWaitMicros());
+        return backend.message(leaving(), models.estimatedWaitMicros());
     }
 
     private SidecarStatus newStatus() {
         return new SidecarStatus(
                 processId,
                 backend,
-                leaving,
+                leaving(),
                 models.waiting(),
                 models.running(),
                 calls.size(),
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarEvent.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarEvent.java
@@ -93,6 +93,14 @@
         }
     }
 
+    /** The platform's host list changed. */
+    record Listed(boolean leaving) implements SidecarEvent {
+        @Override
+        public void handle(SidecarDuty duty) {
+            duty.listed(leaving);
+        }
+    }
+
     /** The process is to leave. */
     record Leave(CompletableFuture<Void> finished) implements SidecarEvent {
         @Override
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarLinks.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarLinks.java
@@ -1,5 +1,6 @@
 package org.geraniumford.daemon.sidecar;
 
+import java.util.function.BiPredicate;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.wire.AttemptId;
@@ -11,17 +12,20 @@
 /** Hands what happens on links to the sidecar's duty. Answers at once what a full ring keeps out. */
 final class SidecarLinks implements LinkHandler {
     private final EventRing ring;
+    private final BiPredicate<Link, Envelope> configuration;
     private final SidecarMetrics metrics;
 
-    private SidecarLinks(EventRing ring, SidecarMetrics metrics) {
+    private SidecarLinks(EventRing ring, BiPredicate<Link, Envelope> configuration, SidecarMetrics metrics) {
         this.ring = ring;
+        this.configuration = configuration;
         this.metrics = metrics;
     }
 
     // -- construction
 
-    static SidecarLinks of(EventRing ring, SidecarMetrics metrics) {
-        return new SidecarLinks(ring, metrics);
+    /** Creates a handler; the predicate handles configuration messages and says which messages these are. */
+    static SidecarLinks of(EventRing ring, BiPredicate<Link, Envelope> configuration, SidecarMetrics metrics) {
+        return new SidecarLinks(ring, configuration, metrics);
     }
 
     // -- commands
@@ -36,6 +40,9 @@
 
     @Override
     public void received(Link link, Envelope envelope) {
+        if (configuration.test(link, envelope)) {
+            return;
+        }
         Message message = envelope.message();
         if (message instanceof Message.Ping ping) {
             link.send(new Message.Pong(ping.id()));
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/sidecar/SidecarDaemonTest.java
@@ -0,0 +1,186 @@
+package org.geraniumford.daemon.sidecar;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import org.geraniumford.core.prefix.CacheScope;
+import org.geraniumford.core.prefix.PieceKey;
+import org.geraniumford.core.prefix.PrefixChain;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.daemon.settings.SidecarSettings;
+import org.geraniumford.standins.engine.EngineFaults;
+import org.geraniumford.standins.engine.EngineOptions;
+import org.geraniumford.standins.engine.EngineStandIn;
+import org.geraniumford.standins.engine.EngineTiming;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class SidecarDaemonTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private static final URI NO_PLATFORM = URI.create("http://127.0.0.1:1/");
+    private static final CacheScope SCOPE = new CacheScope("amahoro", "weights-1", "");
+    private static final List<String> LEVELS = List.of("house preamble ".repeat(20), "roll ".repeat(40), "question");
+    private static final int PIECE_TOKENS = 50;
+    private static final int SPEED = 10;
+
+    private EngineStandIn engine;
+    private SidecarDaemon sidecar;
+    private LinkClient client;
+    private Message.SidecarState state;
+
+    @BeforeEach
+    void start() {
+        engine = EngineStandIn.start(
+                EngineOptions.standard().withTiming(EngineTiming.standard().scaled(SPEED)));
+        sidecar = SidecarDaemon.start(
+                        new SidecarSettings("runner-1", "kigali-a", ANY, ANY, NO_PLATFORM, List.of(), engine.uri(), ""))
+                .join();
+        client = LinkClient.connect(sidecar.linkAddress());
+        client.next(Message.Hello.class);
+        state = client.next(Message.SidecarState.class, seen -> seen.backendIncarnation() != 0);
+    }
+
+    @AfterEach
+    void stop() {
+        client.close();
+        sidecar.close();
+        engine.close();
+    }
+
+    // -- model requests
+
+    @Test
+    void shouldStreamWholeAnswerInOrderWhenCreditSuffices() {
+        client.send(submit("r1", 20, 100));
+        assertThat(client.next(Message.Started.class).cachedPieces()).isZero();
+        assertThat(tokens("r1", 20)).hasSize(20).doesNotContain("");
+        assertThat(client.next(Message.End.class).offset()).isEqualTo(20);
+    }
+
+    @Test
+    void shouldSendNoMoreThanCreditWhenPeerGivesLittle() {
+        client.send(submit("r1", 10, 3));
+        assertThat(tokens("r1", 3)).hasSize(3);
+        client.send(new Message.Ping(7));
+        client.next(Message.Pong.class);
+        assertThat(client.received()).isEmpty();
+        client.send(new Message.Credit(new AttemptId("r1", 1), 10));
+        assertThat(tokens("r1", 7)).hasSize(7);
+        assertThat(client.next(Message.End.class).offset()).isEqualTo(10);
+    }
+
+    @Test
+    void shouldReportCachedPiecesWhenSamePrefixWasAnswered() {
+        client.send(submit("r1", 2, 100));
+        client.next(Message.End.class);
+        client.send(new Message.Probe(1, "weights-1", digests("amahoro")));
+        client.send(new Message.Probe(2, "weights-1", digests("urumuri")));
+        client.send(new Message.Probe(3, "weights-2", digests("amahoro")));
+        assertThat(client.next(Message.ProbeAnswer.class).cachedPieces())
+                .isEqualTo(chain("amahoro").size());
+        assertThat(client.next(Message.ProbeAnswer.class).cachedPieces()).isZero();
+        assertThat(client.next(Message.ProbeAnswer.class).cachedPieces()).isZero();
+        client.send(submit("r2", 2, 100));
+        assertThat(client.next(Message.Started.class).cachedPieces())
+                .isEqualTo(chain("amahoro").size());
+    }
+
+    @Test
+    void shouldRefuseNotRunWhenIncarnationOrWeightsDiffer() {
+        client.send(submit(new AttemptId("r1", 1), SCOPE, 1, 5, 100));
+        assertThat(client.next(Message.Refused.class).refusal().reason()).isEqualTo(Reason.STALE_INCARNATION);
+        client.send(submit(new AttemptId("r2", 1), new CacheScope("amahoro", "weights-2", ""), 0, 5, 100));
+        Message.Refused refused = client.next(Message.Refused.class);
+        assertThat(refused.refusal().reason()).isEqualTo(Reason.WRONG_WEIGHTS);
+        assertThat(refused.refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(engine.executions()).isEmpty();
+    }
+
+    @Test
+    void shouldVoidCacheAndTellPeersWhenEngineRestarts() {
+        client.send(submit("r1", 2, 100));
+        client.next(Message.End.class);
+        engine.inject(new EngineFaults(true, 0, null, null, null, false));
+        Message.SidecarState later =
+                client.next(Message.SidecarState.class, seen -> seen.backendIncarnation() > state.backendIncarnation());
+        client.send(new Message.Probe(1, "weights-1", digests("amahoro")));
+        Message.ProbeAnswer answer = client.next(Message.ProbeAnswer.class);
+        assertThat(answer.cachedPieces()).isZero();
+        assertThat(answer.backendIncarnation()).isEqualTo(later.backendIncarnation());
+    }
+
+    @Test
+    void shouldEndAttemptAsMayHaveRunWhenEngineCutsStream() {
+        client.send(submit("r1", 1000, 5000));
+        client.next(Message.Chunk.class);
+        engine.inject(new EngineFaults(false, 0, null, null, null, true));
+        Message.Refused refused = client.next(Message.Refused.class);
+        assertThat(refused.refusal().reason()).isEqualTo(Reason.STREAM_BROKEN);
+        assertThat(refused.refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
+    // -- leaving
+
+    @Test
+    void shouldFinishStreamsAndRefuseNewWorkWhenDrained() {
+        client.send(submit("r1", 50, 100));
+        client.next(Message.Started.class);
+        var drained = sidecar.drain();
+        client.next(Message.SidecarState.class, Message.SidecarState::leaving);
+        client.send(submit("r2", 5, 100));
+        Message.Refused refused = client.next(Message.Refused.class, seen -> true);
+        assertThat(refused.refusal().reason()).isEqualTo(Reason.LEAVING);
+        assertThat(refused.refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(client.next(Message.End.class).offset()).isEqualTo(50);
+        drained.join();
+        assertThat(engine.executions()).containsOnlyKeys("r1.1");
+    }
+
+    // -- helpers
+
+    private List<String> tokens(String request, int count) {
+        List<String> tokens = new java.util.ArrayList<>();
+        while (tokens.size() < count) {
+            Message.Chunk chunk = client.next(
+                    Message.Chunk.class, seen -> seen.id().requestId().equals(request));
+            tokens.addAll(chunk.tokens());
+        }
+        return tokens;
+    }
+
+    private static PrefixChain chain(String customer) {
+        return PrefixChain.of(new CacheScope(customer, "weights-1", ""), LEVELS, PIECE_TOKENS);
+    }
+
+    private static List<Long> digests(String customer) {
+        return chain(customer).keys().stream().map(PieceKey::shortDigest).toList();
+    }
+
+    private static Message.Submit submit(String request, int maxTokens, int credit) {
+        return submit(new AttemptId(request, 1), SCOPE, 0, maxTokens, credit);
+    }
+
+    private static Message.Submit submit(AttemptId id, CacheScope scope, long incarnation, int maxTokens, int credit) {
+        return new Message.Submit(
+                id,
+                "model-1",
+                scope,
+                "check",
+                0,
+                1,
+                60_000_000,
+                incarnation,
+                PrefixChain.of(scope, LEVELS, PIECE_TOKENS).pieces(),
+                String.join("", LEVELS),
+                maxTokens,
+                0,
+                credit);
+    }
+}
