--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/cache/CacheIndexTest.java
@@ -0,0 +1,145 @@
+package org.geraniumford.core.cache;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.geraniumford.core.cache.CacheEvent.Kind;
+import org.geraniumford.core.prefix.Piece;
+import org.geraniumford.core.prefix.PieceKey;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class CacheIndexTest {
+    private static final long OLD = 10;
+    private static final long NEW = 20;
+
+    // -- events
+
+    @Test
+    void shouldMatchLeadingPiecesWhenEventsStoreAndEvict() {
+        CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
+        index.apply(event(OLD, 1, Kind.STORED, 1, 2, 3));
+        assertThat(index.matched(List.of(1L, 2L, 3L, 4L))).isEqualTo(3);
+        index.apply(event(OLD, 2, Kind.EVICTED, 2));
+        assertThat(index.matched(List.of(1L, 2L, 3L))).isEqualTo(1);
+        assertThat(index.cachedPieces(pieces(3, 4))).isEqualTo(1);
+    }
+
+    @Test
+    void shouldNotHoldPieceWhenOnlyShortDigestAgrees() {
+        CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
+        index.apply(event(OLD, 1, Kind.STORED, 1));
+        assertThat(index.holds(new PieceKey(1, 999))).isFalse();
+    }
+
+    // -- incarnations
+
+    @Property(seed = "3", tries = 300)
+    void shouldHoldNothingOfOldIncarnationWhenMessagesArriveInAnyOrder(@ForAll long order) {
+        List<Runnable> messages = new java.util.ArrayList<>();
+        CacheIndex index = CacheIndex.of(GapPolicy.IGNORE);
+        messages.add(() -> index.apply(event(OLD, 1, Kind.STORED, 1, 2)));
+        messages.add(() -> index.apply(event(OLD, 2, Kind.STORED, 3)));
+        messages.add(() -> index.observe(OLD, pieces(4), 1));
+        messages.add(() -> index.replace(new CacheSnapshot(OLD, 9, keys(5, 6))));
+        messages.add(() -> index.apply(event(NEW, 1, Kind.STORED, 7)));
+        messages.add(() -> index.incarnation(NEW));
+        Collections.shuffle(messages, new Random(order));
+        messages.forEach(Runnable::run);
+        assertThat(index.incarnation()).isEqualTo(NEW);
+        assertThat(IntStream.range(1, 7).anyMatch(i -> index.holds(key(i)))).isFalse();
+        assertThat(index.holds(key(7))).isTrue();
+        assertThat(index.size()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldCountStaleEventWhenItsIncarnationIsOlder() {
+        CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
+        index.incarnation(NEW);
+        index.apply(event(OLD, 1, Kind.STORED, 1));
+        assertThat(index.counts().staleEvents()).isEqualTo(1);
+    }
+
+    // -- gaps
+
+    @ParameterizedTest
+    @CsvSource({"DROP_ALL, 1, 4", "IGNORE, 5, 0", "VOID_AFFECTED, 3, 2"})
+    void shouldVoidByPolicyWhenOneEventIsMissing(GapPolicy policy, int kept, int voided) {
+        CacheIndex index = CacheIndex.of(policy);
+        index.apply(event(OLD, 1, Kind.STORED, 1, 2));
+        index.apply(event(OLD, 2, Kind.STORED, 3, 4));
+        index.apply(event(OLD, 4, Kind.STORED, 5));
+        assertThat(index.size()).isEqualTo(kept);
+        assertThat(index.counts().voidedClaims()).isEqualTo(voided);
+        assertThat(index.incomplete()).isTrue();
+    }
+
+    @Test
+    void shouldKeepRecentlyUsedClaimsWhenGapVoidsOldestOnes() {
+        CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
+        index.apply(event(OLD, 1, Kind.STORED, 1));
+        index.apply(event(OLD, 2, Kind.STORED, 2));
+        index.observe(OLD, pieces(1), 1);
+        index.apply(event(OLD, 4, Kind.STORED, 3));
+        assertThat(index.holds(key(1))).isTrue();
+        assertThat(index.holds(key(2))).isFalse();
+    }
+
+    @Test
+    void shouldBelieveLateEvictionButNotLateStore() {
+        CacheIndex index = CacheIndex.of(GapPolicy.IGNORE);
+        index.apply(event(OLD, 1, Kind.STORED, 1));
+        index.apply(event(OLD, 4, Kind.STORED, 2));
+        index.apply(event(OLD, 2, Kind.EVICTED, 1));
+        index.apply(event(OLD, 3, Kind.STORED, 3));
+        assertThat(index.holds(key(1))).isFalse();
+        assertThat(index.holds(key(3))).isFalse();
+        assertThat(index.counts().lateEvents()).isEqualTo(2);
+    }
+
+    // -- answers and snapshots
+
+    @Test
+    void shouldDropWrongClaimsWhenEngineHeldFewerPieces() {
+        CacheIndex index = CacheIndex.of(GapPolicy.IGNORE);
+        index.apply(event(OLD, 1, Kind.STORED, 1, 2, 3));
+        index.observe(OLD, pieces(1, 2, 3), 1);
+        assertThat(index.cachedPieces(pieces(1, 2, 3))).isEqualTo(1);
+        assertThat(index.counts().wrongClaims()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldReplaceClaimsWhenSnapshotIsNotOlderThanEvents() {
+        CacheIndex index = CacheIndex.of(GapPolicy.IGNORE);
+        index.apply(event(OLD, 5, Kind.STORED, 1, 2));
+        assertThat(index.replace(new CacheSnapshot(OLD, 4, keys(9)))).isFalse();
+        assertThat(index.replace(new CacheSnapshot(OLD, 6, keys(2, 3)))).isTrue();
+        assertThat(index.size()).isEqualTo(2);
+        assertThat(index.holds(key(1))).isFalse();
+        assertThat(index.incomplete()).isFalse();
+    }
+
+    // -- helpers
+
+    private static CacheEvent event(long incarnation, long sequence, Kind kind, int... keys) {
+        return new CacheEvent(incarnation, sequence, kind, keys(keys));
+    }
+
+    private static List<PieceKey> keys(int... numbers) {
+        return IntStream.of(numbers).mapToObj(CacheIndexTest::key).toList();
+    }
+
+    private static List<Piece> pieces(int... numbers) {
+        return IntStream.of(numbers).mapToObj(i -> new Piece(key(i), 100)).toList();
+    }
+
+    private static PieceKey key(int number) {
+        return new PieceKey(number, -number);
+    }
+}
