--- a/trials/src/main/java/org/geraniumford/trials/deployment/SmallDeployment.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/SmallDeployment.java
@@ -24,11 +24,22 @@
      * @return the plan
      */
     public static DeploymentPlan plan(Path configuration) {
+        return plan(configuration, List.of());
+    }
+
+    /**
+     * Plans the same deployment with other engines.
+     *
+     * @param configuration the example configuration folder
+     * @param engineOptions further options of the engine stand-ins
+     * @return the plan
+     */
+    public static DeploymentPlan plan(Path configuration, List<String> engineOptions) {
         Stream<RunnerPlan> draft = IntStream.range(0, DRAFT_RUNNERS)
                 .mapToObj(i -> new RunnerPlan(
-                        "runner-" + (i + 1), FAILURE_DOMAINS.get(i), "draft-1", DRAFT_WEIGHTS, List.of()));
+                        "runner-" + (i + 1), FAILURE_DOMAINS.get(i), "draft-1", DRAFT_WEIGHTS, engineOptions));
         Stream<RunnerPlan> civic = Stream.of(
-                new RunnerPlan("runner-" + (DRAFT_RUNNERS + 1), "kigali-a", "civic-1", CIVIC_WEIGHTS, List.of()));
+                new RunnerPlan("runner-" + (DRAFT_RUNNERS + 1), "kigali-a", "civic-1", CIVIC_WEIGHTS, engineOptions));
         return new DeploymentPlan(
                 configuration,
                 Stream.concat(draft, civic).toList(),
--- /dev/null
+++ b/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
@@ -0,0 +1,221 @@
+package org.geraniumford.trials.deployment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.geraniumford.trials.caller.Caller;
+import org.geraniumford.trials.caller.ModelAnswer;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Kills, freezes and outages of real processes. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+final class ProcessFailureTest {
+    private static final Duration LIMIT = Duration.ofSeconds(60);
+    private static final Path CONFIGURATION = Path.of("..", "examples", "configuration");
+    private static final List<String> ENGINE = List.of("--prefill-micros", "10", "--decode-micros", "10000");
+    private static final int ANSWER_TOKENS = 100;
+
+    @TempDir
+    private Path folder;
+
+    private Deployment deployment;
+
+    @BeforeAll
+    void start() throws IOException {
+        deployment = Deployment.start(SmallDeployment.plan(CONFIGURATION, ENGINE), folder);
+    }
+
+    @AfterAll
+    void stop() {
+        if (deployment != null) {
+            deployment.close();
+        }
+    }
+
+    // -- streams
+
+    /** How a runner is lost in the middle of a stream. */
+    enum Loss {
+        ENGINE_KILLED {
+            @Override
+            void lose(Deployment deployment, String runner) {
+                deployment.engine(runner).kill();
+            }
+
+            @Override
+            void heal(Deployment deployment, String runner) throws IOException {
+                deployment.restartEngine(runner);
+            }
+        },
+        SIDECAR_KILLED {
+            @Override
+            void lose(Deployment deployment, String runner) {
+                deployment.node(runner).kill();
+            }
+
+            @Override
+            void heal(Deployment deployment, String runner) throws IOException {
+                deployment.restartSidecar(runner);
+            }
+        },
+        BOTH_KILLED {
+            @Override
+            void lose(Deployment deployment, String runner) {
+                deployment.engine(runner).kill();
+                deployment.node(runner).kill();
+            }
+
+            @Override
+            void heal(Deployment deployment, String runner) throws IOException {
+                deployment.restartEngine(runner);
+                deployment.restartSidecar(runner);
+            }
+        },
+        ENGINE_FROZEN {
+            @Override
+            void lose(Deployment deployment, String runner) {
+                deployment.engine(runner).pause();
+            }
+
+            @Override
+            void heal(Deployment deployment, String runner) {
+                deployment.engine(runner).resume();
+            }
+        },
+        SIDECAR_FROZEN {
+            @Override
+            void lose(Deployment deployment, String runner) {
+                deployment.node(runner).pause();
+            }
+
+            @Override
+            void heal(Deployment deployment, String runner) {
+                deployment.node(runner).resume();
+            }
+        };
+
+        abstract void lose(Deployment deployment, String runner);
+
+        abstract void heal(Deployment deployment, String runner) throws IOException;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Loss.class)
+    void shouldDeliverTheWholeAnswerWhenTheRunnerIsLostInMidStream(Loss loss) throws Exception {
+        List<String> prompt = prompt("lost in mid stream by " + loss);
+        ModelAnswer undisturbed = ask(0, prompt);
+        CountDownLatch begun = new CountDownLatch(1);
+        CompletableFuture<ModelAnswer> running =
+                caller(0, "amahoro").stream("draft", prompt, ANSWER_TOKENS, begun::countDown);
+        assertThat(begun.await(LIMIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+        loss.lose(deployment, undisturbed.backend());
+        try {
+            ModelAnswer disturbed = running.get(LIMIT.toSeconds(), TimeUnit.SECONDS);
+            assertThat(disturbed.end()).isEqualTo(ModelAnswer.StreamEnd.COMPLETE);
+            assertThat(disturbed.text()).isEqualTo(undisturbed.text());
+            assertThat(disturbed.attempts()).isGreaterThan(1);
+        } finally {
+            loss.heal(deployment, undisturbed.backend());
+        }
+    }
+
+    @Test
+    void shouldFinishEveryStreamWhenAnEntryIsToldToStop() throws Exception {
+        List<String> prompt = prompt("entry stops");
+        CountDownLatch begun = new CountDownLatch(1);
+        CompletableFuture<ModelAnswer> running =
+                caller(1, "amahoro").stream("draft", prompt, ANSWER_TOKENS, begun::countDown);
+        assertThat(begun.await(LIMIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+        deployment.entry(1).terminate();
+        try {
+            assertThat(running.get(LIMIT.toSeconds(), TimeUnit.SECONDS).complete())
+                    .isTrue();
+            assertThat(deployment.entry(1).awaitEnd()).isZero();
+        } finally {
+            deployment.restartEntry(1);
+        }
+    }
+
+    // -- start and stop
+
+    @Test
+    void shouldServeAtOnceWithTheSamePrefixesWhenAnEntryRestartsWithoutThePlatform() throws Exception {
+        List<String> prompt = prompt("entry restarts");
+        ModelAnswer before = ask(1, prompt);
+        deployment.platform().faults("{\"outage\":true}");
+        try {
+            deployment.entry(1).kill();
+            deployment.restartEntry(1);
+            ModelAnswer after = askUntilServed(1, prompt);
+            assertThat(after.cachedPieces()).isGreaterThanOrEqualTo(before.pieces() - 1);
+        } finally {
+            deployment.platform().faults("{\"outage\":false}");
+        }
+    }
+
+    @Test
+    void shouldTakeNoNewWorkWhenThePlatformListsTheHostAsLeaving() throws Exception {
+        List<String> prompt = prompt("host leaves");
+        String runner = ask(0, prompt).backend();
+        String link = deployment.node(runner).address("link");
+        deployment.platform().register(runner, "runner", link, "kigali-a", "leaving");
+        try {
+            await(() -> !ask(0, prompt).backend().equals(runner));
+            assertThat(ask(0, prompt).backend()).isNotEqualTo(runner);
+        } finally {
+            deployment.platform().register(runner, "runner", link, "kigali-a", "live");
+        }
+    }
+
+    // -- cache
+
+    @Test
+    void shouldRelyOnNothingOfTheOldEngineWhenItRestarts() throws Exception {
+        List<String> prompt = prompt("engine restarts");
+        String runner = ask(0, prompt).backend();
+        deployment.engine(runner).kill();
+        deployment.restartEngine(runner);
+        ModelAnswer after = askUntilServed(0, prompt);
+        assertThat(after.complete()).isTrue();
+        assertThat(after.cachedPieces()).isZero();
+    }
+
+    // -- support
+
+    private ModelAnswer askUntilServed(int entry, List<String> prompt) {
+        await(() -> ask(entry, prompt).complete());
+        return ask(entry, prompt);
+    }
+
+    private ModelAnswer ask(int entry, List<String> prompt) {
+        return caller(entry, "amahoro").stream("draft", prompt, ANSWER_TOKENS).join();
+    }
+
+    private Caller caller(int entry, String customer) {
+        return Caller.of(deployment.entry(entry).address("caller"), "example-key-" + customer);
+    }
+
+    private static List<String> prompt(String name) {
+        return List.of((name + " roll ").repeat(2000), "Who joined in March?");
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long limit = System.nanoTime() + LIMIT.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(limit);
+        }
+    }
+}
