Routing policy and prefill rate as settings; prompts that fit no frame are refused

Cause: the comparison runs need the baselines as a switch; the cost model took 50 us a token where the ordinary engine takes 100; a submit of more than 8 MiB (small pieces, or a larger max_body) was dropped at the encoder without a word and the request waited for the progress timeout. Change: [routing] policy and prefill_tokens_per_second; BODY_TOO_LARGE with NOT_RUN before anything is sent. On a scratch copy the mutation 'link loss ignored' had passed the fault table (the progress timeout made up for it), so a lost link has its own test.

--- a/core/src/main/java/org/geraniumford/core/routing/CostModel.java
+++ b/core/src/main/java/org/geraniumford/core/routing/CostModel.java
@@ -15,7 +15,8 @@
         double pendingShare,
         double duplicationShare,
         long saturatedMicros) {
-    private static final double STANDARD_PREFILL_MICROS = 50.0;
+    private static final int STANDARD_TOKENS_PER_SECOND = 10_000;
+    private static final double MICROS_PER_SECOND = 1_000_000.0;
     private static final long STANDARD_CROSS_DOMAIN_MICROS = 1_000;
     private static final double STANDARD_PENDING_SHARE = 0.25;
     private static final double STANDARD_DUPLICATION_SHARE = 1.0;
@@ -31,13 +32,23 @@
     // -- construction
 
     /**
-     * Returns the costs of an engine that computes 20,000 prompt tokens a second.
+     * Returns the costs of an engine that computes 10,000 prompt tokens a second.
      *
      * @return the standard terms
      */
     public static CostModel standard() {
+        return ofPrefillRate(STANDARD_TOKENS_PER_SECOND);
+    }
+
+    /**
+     * Returns the standard costs with another engine speed.
+     *
+     * @param tokensPerSecond the prompt tokens that an engine computes a second, at least 1
+     * @return the terms
+     */
+    public static CostModel ofPrefillRate(int tokensPerSecond) {
         return new CostModel(
-                STANDARD_PREFILL_MICROS,
+                MICROS_PER_SECOND / tokensPerSecond,
                 STANDARD_CROSS_DOMAIN_MICROS,
                 STANDARD_PENDING_SHARE,
                 STANDARD_DUPLICATION_SHARE,
--- a/core/src/test/java/org/geraniumford/core/request/RequestMachineFaultTest.java
+++ b/core/src/test/java/org/geraniumford/core/request/RequestMachineFaultTest.java
@@ -70,7 +70,16 @@
         }
     }
 
-    // -- frozen hosts
+    // -- lost and frozen hosts
+
+    @Test
+    void shouldLeaveAHostAtOnceWhenItsLinkIsLost() {
+        FaultyWorld world = running();
+        world.send(new RequestEvent.HostLost("another", false));
+        assertThat(world.actions).noneMatch(RequestAction.Retry.class::isInstance);
+        world.send(new RequestEvent.HostLost(host(world), false));
+        assertThat(world.actions).contains(new RequestAction.Retry(Reason.CONNECTION_LOST));
+    }
 
     @Test
     void shouldLeaveAHostThatDoesNotAnswerAPing() {
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -23,7 +23,6 @@
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
-import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.operator.ProcessStatus;
@@ -111,8 +110,8 @@
     }
 
     private ModelShard.ShardParts shardParts(RequestLimits limits) {
-        RequestMachine machine =
-                RequestMachine.of(RoutingPolicy.PROBE, CostModel.standard(), RetryPolicy.standard(), limits);
+        CostModel costs = CostModel.ofPrefillRate(settings.prefillTokensPerSecond());
+        RequestMachine machine = RequestMachine.of(settings.routingPolicy(), costs, RetryPolicy.standard(), limits);
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
         return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/SpecFactory.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/SpecFactory.java
@@ -10,6 +10,7 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.RefusalException;
+import org.geraniumford.transport.link.FrameCodec;
 
 /**
  * Turns callers' requests into what the router decides on.
@@ -18,6 +19,9 @@
  * @param pieceTokens the engines' piece size in tokens
  */
 record SpecFactory(String failureDomain, int pieceTokens) {
+    private static final int PIECE_FRAME_BYTES = 32;
+    private static final int OTHER_FRAME_BYTES = 4 * 1024;
+
     // -- queries
 
     /**
@@ -38,13 +42,17 @@
             throw refused(Reason.FORBIDDEN, "the customer may not use model " + model.name());
         }
         CacheScope scope = new CacheScope(arrival.customer().name(), model.weightsDigest(), model.adapter());
+        PrefixChain chain = PrefixChain.of(scope, request.levels(), pieceTokens);
+        if (frameBytes(chain) > FrameCodec.MAX_FRAME_BYTES) {
+            throw refused(Reason.BODY_TOO_LARGE, "the prompt does not fit into one message to a sidecar");
+        }
         return new RequestSpec(
                 arrival.requestId(),
                 model.version(),
                 scope,
                 priorityClass(configuration, request.priorityClass()),
                 arrival.customer().weight(),
-                PrefixChain.of(scope, request.levels(), pieceTokens),
+                chain,
                 request.prompt(),
                 Math.min(request.maxTokens().orElse(model.maxTokens()), model.maxTokens()),
                 arrival.acceptedNanos(),
@@ -52,6 +60,12 @@
                 salt);
     }
 
+    /** Estimates the size of a submit from above. */
+    private static long frameBytes(PrefixChain chain) {
+        long prompt = (long) (chain.tokens() + chain.size()) * PrefixChain.BYTES_PER_TOKEN;
+        return prompt + (long) chain.size() * PIECE_FRAME_BYTES + OTHER_FRAME_BYTES;
+    }
+
     private static PriorityClass priorityClass(Configuration configuration, Optional<String> name) {
         return configuration
                 .priorityClass(name)
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/EntrySettings.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
+import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.transport.http.HttpLimits;
 
 /**
@@ -17,6 +18,8 @@
  * @param platform the platform's base address
  * @param seeds link addresses of peers to ask at the start
  * @param pieceTokens the engines' piece size in tokens
+ * @param routingPolicy how the host of a model request is found
+ * @param prefillTokensPerSecond the prompt tokens that an engine computes a second
  * @param callerLimits what is accepted from callers
  * @param security how links are authenticated and encrypted
  * @param drainTimeout how long a stop waits for running requests
@@ -30,16 +33,21 @@
         URI platform,
         List<InetSocketAddress> seeds,
         int pieceTokens,
+        RoutingPolicy routingPolicy,
+        int prefillTokensPerSecond,
         HttpLimits callerLimits,
         LinkSecurity security,
         Duration drainTimeout) {
+    /** The prompt tokens that an ordinary engine computes a second. */
+    public static final int STANDARD_PREFILL_TOKENS_PER_SECOND = 10_000;
+
     /** Copies the list. */
     public EntrySettings {
         seeds = List.copyOf(seeds);
     }
 
     /**
-     * Creates settings with the standard limits, plain links and the standard drain timeout.
+     * Creates settings with the standard routing and limits, plain links and the standard drain timeout.
      *
      * @param processId the process's unique name
      * @param failureDomain the failure domain of its host
@@ -68,6 +76,8 @@
                 platform,
                 seeds,
                 pieceTokens,
+                RoutingPolicy.PROBE,
+                STANDARD_PREFILL_TOKENS_PER_SECOND,
                 HttpLimits.standard(),
                 LinkSecurity.none(),
                 SidecarSettings.STANDARD_DRAIN_TIMEOUT);
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import org.geraniumford.core.ini.IniDocument;
 import org.geraniumford.core.ini.IniProblem;
+import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.transport.http.HttpLimits;
 
 /** Loads the daemons' settings files. */
@@ -24,6 +25,18 @@
             SettingType.integer("tokens", 1, 1_000_000),
             "4000",
             "The engines' cache piece size. Must be the same on every entry.");
+    private static final Setting<RoutingPolicy> ROUTING_POLICY = Setting.optional(
+            "routing",
+            "policy",
+            SettingType.choice(RoutingPolicy.class),
+            "probe",
+            "How the host of a model request is found. All but probe are for comparisons.");
+    private static final Setting<Integer> PREFILL_RATE = Setting.optional(
+            "routing",
+            "prefill_tokens_per_second",
+            SettingType.integer("tokens/s", 1, 10_000_000),
+            Integer.toString(EntrySettings.STANDARD_PREFILL_TOKENS_PER_SECOND),
+            "The prompt tokens that an engine computes a second; weighs waiting against computing again.");
     private static final Setting<Integer> MAX_BODY = optional(
             "limits",
             "max_body",
@@ -54,7 +67,7 @@
     /** The settings of an entry. */
     public static final SettingsSchema<EntrySettings> ENTRY = SettingsSchema.of(
             "entry",
-            List.of(CALLER, PIECE_TOKENS, MAX_BODY, MAX_HEADER, MAX_CONNECTIONS),
+            List.of(CALLER, PIECE_TOKENS, ROUTING_POLICY, PREFILL_RATE, MAX_BODY, MAX_HEADER, MAX_CONNECTIONS),
             SettingsLoader::entrySettings);
 
     /** The settings of a sidecar. */
@@ -131,6 +144,8 @@
                 values.value(SharedSettings.PLATFORM),
                 values.value(SharedSettings.SEEDS),
                 values.value(PIECE_TOKENS),
+                values.value(ROUTING_POLICY),
+                values.value(PREFILL_RATE),
                 new HttpLimits(values.value(MAX_BODY), values.value(MAX_HEADER), values.value(MAX_CONNECTIONS)),
                 SharedSettings.security(values, folder),
                 values.value(SharedSettings.DRAIN_TIMEOUT));
--- a/daemon/src/test/java/org/geraniumford/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/EntryFixture.java
@@ -74,6 +74,13 @@
         return fixture;
     }
 
+    /** Returns a request of the configured customer that no connection carries. */
+    static Arrival arrival() {
+        Configuration configuration = configuration();
+        return new Arrival(
+                "r", null, AnswerFormat.TEXT, configuration.customers().get("club"), configuration, 0);
+    }
+
     private static Configuration configuration() {
         Customer club =
                 new Customer("club", "Club", Set.of(digest(KEY)), 1, Set.of("drafts"), Set.of("ballots"), 0, 0, 0);
