--- a/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
+++ b/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
@@ -28,13 +28,10 @@
     private static final List<String> ENGINE = List.of("--prefill-micros", "10", "--decode-micros", "10000");
     private static final int ANSWER_TOKENS = 100;
 
-    @TempDir
-    private Path folder;
-
     private Deployment deployment;
 
     @BeforeAll
-    void start() throws IOException {
+    void start(@TempDir Path folder) throws IOException {
         deployment = Deployment.start(SmallDeployment.plan(CONFIGURATION, ENGINE), folder);
     }
 
@@ -126,7 +123,9 @@
             ModelAnswer disturbed = running.get(LIMIT.toSeconds(), TimeUnit.SECONDS);
             assertThat(disturbed.end()).isEqualTo(ModelAnswer.StreamEnd.COMPLETE);
             assertThat(disturbed.text()).isEqualTo(undisturbed.text());
-            assertThat(disturbed.attempts()).isGreaterThan(1);
+            assertThat(disturbed.attempts())
+                    .as("%s after %s", disturbed, undisturbed)
+                    .isGreaterThan(1);
         } finally {
             loss.heal(deployment, undisturbed.backend());
         }
