--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
@@ -11,6 +11,7 @@
 import org.geraniumford.core.close.Closer;
 import org.geraniumford.core.configuration.ConfigurationHolder;
 import org.geraniumford.core.membership.Host;
+import org.geraniumford.core.request.RequestLimits;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.daemon.configuration.ConfigurationSync;
 import org.geraniumford.daemon.membership.HostDirectory;
@@ -25,11 +26,13 @@
  * @param hosts the platform's list of hosts, as last read
  * @param configurationMessages looks at each message that arrives; true if it needs no other handling
  * @param calls makes the calls of plain services through the entry's links
+ * @param limits the bounds of one model request
  */
 record EntryEnvironment(
         Supplier<List<Host>> hosts,
         BiPredicate<Link, Envelope> configurationMessages,
-        Function<CallGateway, ServiceCaller> calls) {
+        Function<CallGateway, ServiceCaller> calls,
+        RequestLimits limits) {
     /** Opens what an entry needs; the closer takes what must be closed with it. */
     interface Factory {
         EntryEnvironment open(ConfigurationHolder configurations, LinkNetwork network, long incarnation, Closer closer);
@@ -39,13 +42,14 @@
         requireNonNull(hosts, "hosts is null");
         requireNonNull(configurationMessages, "configurationMessages is null");
         requireNonNull(calls, "calls is null");
+        requireNonNull(limits, "limits is null");
     }
 
     // -- construction
 
     /** Returns surroundings without a platform: the hosts are given, and no configuration message is handled. */
-    static EntryEnvironment of(Supplier<List<Host>> hosts) {
-        return new EntryEnvironment(hosts, (link, envelope) -> false, IdempotentCalls::new);
+    static EntryEnvironment of(Supplier<List<Host>> hosts, RequestLimits limits) {
+        return new EntryEnvironment(hosts, (link, envelope) -> false, IdempotentCalls::new, limits);
     }
 
     /** Opens the connection to the platform and keeps the configuration and the host list up to date. */
@@ -56,7 +60,8 @@
             HostDirectory directory = closer.add(HostDirectory.start(platform, incarnation));
             ConfigurationSync sync = closer.add(
                     ConfigurationSync.start(configurations, platform, network, settings.seeds(), incarnation));
-            return new EntryEnvironment(directory::hosts, sync::received, IdempotentCalls::new);
+            return new EntryEnvironment(
+                    directory::hosts, sync::received, IdempotentCalls::new, RequestLimits.standard());
         };
     }
 }
