--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/orders/Target.java
@@ -0,0 +1,17 @@
+package org.geraniumford.core.orders;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * What an engine should hold.
+ *
+ * @param version the model version
+ * @param weightsDigest the digest of its weights
+ */
+public record Target(String version, String weightsDigest) {
+    /** Checks the components. */
+    public Target {
+        requireNonNull(version, "version is null");
+        requireNonNull(weightsDigest, "weightsDigest is null");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/orders/RunnerPlanTest.java
@@ -0,0 +1,79 @@
+package org.geraniumford.core.orders;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.geraniumford.core.configuration.Model;
+import org.geraniumford.core.membership.Host;
+import org.geraniumford.core.membership.HostKind;
+import org.geraniumford.core.membership.HostState;
+import org.junit.jupiter.api.Test;
+
+final class RunnerPlanTest {
+    private static final List<Model> SHARED = List.of(model("civic", 1, 0), model("draft", 1, 0));
+    private static final List<Model> COUNTED = List.of(model("civic", 1, 3), model("draft", 1, 0));
+
+    @Test
+    void shouldGiveCountedModelsTheirNumberAndOthersTheRest() {
+        assertThat(counts(COUNTED, hosts(12))).containsEntry("civic", 3L).containsEntry("draft", 9L);
+        assertThat(counts(SHARED, hosts(12))).containsEntry("civic", 6L).containsEntry("draft", 6L);
+    }
+
+    @Test
+    void shouldComeToSamePlanWhenHostsAreListedInAnotherOrder() {
+        List<Host> shuffled = new java.util.ArrayList<>(hosts(12));
+        Collections.shuffle(shuffled, new Random(5));
+        assertThat(assignment(COUNTED, shuffled)).isEqualTo(assignment(COUNTED, hosts(12)));
+    }
+
+    @Test
+    void shouldMoveFewRunnersWhenOneHostLeaves() {
+        var before = assignment(SHARED, hosts(100));
+        var after = assignment(SHARED, hosts(99));
+        long moved = after.entrySet().stream()
+                .filter(entry -> !before.get(entry.getKey()).equals(entry.getValue()))
+                .count();
+        assertThat(moved).isLessThanOrEqualTo(4);
+    }
+
+    @Test
+    void shouldKeepHeldVersionOrFollowItsModelWhenNoModelCountsRunners() {
+        assertThat(RunnerPlan.target(SHARED, hosts(2), "runner-0", "weights-draft-1", Optional.empty()))
+                .contains(new Target("draft-1", "weights-draft-1"));
+        List<Model> later = List.of(model("civic", 1, 0), model("draft", 2, 0));
+        assertThat(RunnerPlan.target(later, hosts(2), "runner-0", "weights-draft-1", Optional.of("draft")))
+                .contains(new Target("draft-2", "weights-draft-2"));
+        assertThat(RunnerPlan.target(later, hosts(2), "unlisted", "weights-draft-1", Optional.empty()))
+                .isEmpty();
+    }
+
+    private static java.util.Map<String, Long> counts(List<Model> models, List<Host> hosts) {
+        return assignment(models, hosts).values().stream()
+                .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
+    }
+
+    private static java.util.Map<String, String> assignment(List<Model> models, List<Host> hosts) {
+        RunnerPlan plan = RunnerPlan.of(models, hosts);
+        return hosts.stream()
+                .filter(host -> plan.model(host.name()).isPresent())
+                .collect(Collectors.toMap(
+                        Host::name, host -> plan.model(host.name()).get().name()));
+    }
+
+    private static List<Host> hosts(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new Host("runner-" + i, HostKind.RUNNER, "127.0.0.1:1", "kigali-a", HostState.LIVE))
+                .toList();
+    }
+
+    private static Model model(String name, int version, int runners) {
+        String full = name + "-" + version;
+        return new Model(name, full, "weights-" + full, "", runners, 100);
+    }
+}
