--- a/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
@@ -7,17 +7,20 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.geraniumford.core.configuration.Publication;
 import org.geraniumford.trials.deployment.SettingsFiles.DaemonHost;
 import org.geraniumford.trials.deployment.SettingsFiles.Listen;
 
 /** Every process of one deployment, on loopback, with free ports. */
 public final class Deployment implements AutoCloseable {
     private static final String PLATFORM = "platform";
+    private static final int SIGTERM_EXIT = 143;
 
     private final DeploymentPlan plan;
     private final Path folder;
@@ -61,12 +64,7 @@
         for (int i = 0; i < plan.services().size(); i++) {
             startService(plan.services().get(i), i);
         }
-        command(
-                "config",
-                "apply",
-                "--platform",
-                platformAddress(),
-                plan.configuration().toString());
+        applyConfiguration();
         for (int i = 0; i < plan.entries(); i++) {
             startEntry(i, Listen.free());
         }
@@ -84,7 +82,7 @@
                                 port,
                                 "--model-version",
                                 runner.modelVersion(),
-                                "--weights-digest",
+                                "--weights",
                                 runner.weightsDigest()),
                         runner.engineOptions().stream())
                 .toList();
@@ -207,6 +205,18 @@
 
     // -- commands
 
+    /**
+     * Puts the plan's configuration folder in force.
+     *
+     * @throws IOException if the folder is not accepted
+     */
+    public void applyConfiguration() throws IOException {
+        Publication.Outcome outcome = ConfigurationFolder.publish(platformAddress(), plan.configuration());
+        if (!(outcome instanceof Publication.Outcome.Applied)) {
+            throw new IOException("the configuration was not applied: " + outcome);
+        }
+    }
+
     /**
      * Runs an operator's command and waits for it.
      *
@@ -239,8 +249,8 @@
      * @throws IOException if it does not start
      */
     public void restartEngine(String runner) throws IOException {
-        String port = engine(runner).address("address").split(":")[1];
-        startEngine(runnerPlan(runner), port);
+        String address = engine(runner).address("address");
+        startEngine(runnerPlan(runner), address.substring(address.indexOf(':') + 1));
     }
 
     /**
@@ -270,7 +280,7 @@
      */
     public List<String> stop() {
         List<Node> reversed = new ArrayList<>(nodes.values());
-        java.util.Collections.reverse(reversed);
+        Collections.reverse(reversed);
         return reversed.stream().filter(node -> !stopped(node)).map(Node::name).toList();
     }
 
@@ -283,8 +293,6 @@
         return exit == 0 || exit == SIGTERM_EXIT;
     }
 
-    private static final int SIGTERM_EXIT = 143;
-
     /** Ends every process at once. */
     @Override
     public void close() {
--- a/trials/src/main/java/org/geraniumford/trials/deployment/SettingsFiles.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/SettingsFiles.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** Writes the settings files of a deployment's daemons. */
 final class SettingsFiles {
@@ -28,9 +29,8 @@
     Path writeSidecar(
             DaemonHost host, Listen listen, String backend, String service, List<String> seeds, List<String> more)
             throws IOException {
-        List<String> lines = java.util.stream.Stream.concat(
-                        java.util.stream.Stream.of("[backend]", "address = http://" + backend, "service = " + service),
-                        more.stream())
+        List<String> lines = Stream.concat(
+                        Stream.of("[backend]", "address = http://" + backend, "service = " + service), more.stream())
                 .toList();
         return write(host, "", listen, seeds, lines);
     }
