Sidecar: order duty, operator server, status

Change: OrderKeeper carries out what the order machine decides, over the table service, and closes the sidecar to new work (SidecarState.leaving) while an order is due; the operator port is OperatorServer's.

--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/BackendState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/BackendState.java
@@ -12,8 +12,10 @@
  * @param modelVersion the model version that is served; empty for a plain service
  * @param weightsDigest the digest of the weights; empty for a plain service
  * @param incarnation the backend server's incarnation; 0 while it is down
+ * @param checksFencing whether an engine refuses orders with old numbers
  */
-record BackendState(String service, String modelVersion, String weightsDigest, long incarnation) {
+record BackendState(
+        String service, String modelVersion, String weightsDigest, long incarnation, boolean checksFencing) {
     BackendState {
         requireNonNull(service, "service is null");
         requireNonNull(modelVersion, "modelVersion is null");
@@ -23,11 +25,12 @@
     // -- construction
 
     static BackendState down(String service) {
-        return new BackendState(service, "", "", 0);
+        return new BackendState(service, "", "", 0, false);
     }
 
     static BackendState of(EngineState state) {
-        return new BackendState("", state.modelVersion(), state.weightsDigest(), state.incarnation());
+        return new BackendState(
+                "", state.modelVersion(), state.weightsDigest(), state.incarnation(), state.checksFencing());
     }
 
     // -- queries
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
@@ -31,6 +31,7 @@
 import org.geraniumford.transport.engine.EngineClient;
 import org.geraniumford.transport.engine.PortCheck;
 import org.geraniumford.transport.engine.ServiceClient;
+import org.geraniumford.transport.link.LinkIdentity;
 import org.geraniumford.transport.link.LinkNetwork;
 import org.geraniumford.transport.platform.PlatformClient;
 
@@ -47,10 +48,18 @@
     private final Closer closer;
     private final AtomicReference<Duty<SidecarEvent>> duty = new AtomicReference<>();
     private final long incarnation = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    private final ConfigurationHolder configuration = ConfigurationHolder.empty();
+    private final SidecarIdentity identity;
 
     SidecarAssembly(SidecarSettings settings, Closer closer) {
         this.settings = settings;
         this.closer = closer;
+        this.identity = new SidecarIdentity(
+                settings.processId(),
+                settings.failureDomain(),
+                settings.service(),
+                incarnation,
+                configuration::version);
     }
 
     // -- commands
@@ -71,14 +80,13 @@
 
     /** Creates the duty's work; the ring takes events once {@link #run} was called. */
     SidecarDuty handler(EventLoopGroup group, AsyncHttpClient http, SidecarMetrics metrics) {
-        Engine engine = EngineClient.of(settings.backend(), http);
+        Engine engine = engine(http);
         ServiceClient service = ServiceClient.of(settings.backend(), http);
         CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
         AdmissionQueue queue = AdmissionQueue.of(AdmissionLimits.standard(), CostModel.initial());
         TokenRegister tokens = TokenRegister.start(incarnation, CLOCK_SKEW, REMEMBERED_TOKENS);
         return SidecarDuty.of(
-                settings.processId(),
-                settings.service(),
+                identity,
                 ModelRequests.of(engine, this::offer, index, queue, metrics, System::nanoTime),
                 PlainCalls.of(service::pass, tokens, this::offer, metrics),
                 watch(group, engine, index),
@@ -91,7 +99,7 @@
                 ? EngineWatch.of(engine, index, this::offer, System.nanoTime())
                 : ServiceWatch.of(
                         () -> PortCheck.accepts(group, settings.backend()),
-                        new BackendState(settings.service(), "", "", incarnation),
+                        new BackendState(settings.service(), "", "", incarnation, false),
                         this::offer,
                         System.nanoTime());
     }
@@ -101,14 +109,27 @@
     }
 
     /** Keeps the configuration up to date. */
-    ConfigurationSync configuration(ConfigurationHolder holder, PlatformClient platform, LinkNetwork network) {
-        return closer.add(ConfigurationSync.start(holder, platform, network, settings.seeds(), incarnation));
+    ConfigurationSync follow(PlatformClient platform, LinkNetwork network) {
+        return closer.add(ConfigurationSync.start(configuration, platform, network, settings.seeds(), incarnation));
     }
 
-    /** Follows what the platform's host list says of this host. */
-    void followHostList(PlatformClient platform) {
+    /** Follows the platform's host list, and what it says of this host. */
+    HostDirectory followHostList(PlatformClient platform) {
         HostDirectory hosts = closer.add(HostDirectory.start(platform, incarnation));
         hosts.onChange(() -> Delivery.untilTaken(this::offer, new SidecarEvent.Listed(listedLeaving(hosts))));
+        return hosts;
+    }
+
+    /** Keeps a model engine at the version that the configuration wants. */
+    void keepOrders(SidecarDuty handler, AsyncHttpClient http, PlatformClient platform, HostDirectory hosts) {
+        if (settings.service().isEmpty()) {
+            handler.orderedBy(closer.add(OrderKeeper.start(
+                    identity, engine(http), platform, configuration::current, hosts::hosts, this::offer)));
+        }
+    }
+
+    private Engine engine(AsyncHttpClient http) {
+        return EngineClient.of(settings.backend(), http);
     }
 
     private boolean listedLeaving(HostDirectory hosts) {
@@ -132,12 +153,12 @@
 
     // -- queries
 
-    Message.Hello hello() {
+    private Message.Hello hello() {
         String backend = settings.service().isEmpty() ? settings.processId() : settings.service();
         return new Message.Hello(settings.processId(), Role.SIDECAR, settings.failureDomain(), backend);
     }
 
-    long incarnation() {
-        return incarnation;
+    LinkIdentity linkIdentity() {
+        return new LinkIdentity(hello(), incarnation, configuration::version);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
@@ -9,12 +9,12 @@
 import java.util.concurrent.CompletableFuture;
 import org.asynchttpclient.AsyncHttpClient;
 import org.geraniumford.core.close.Closer;
-import org.geraniumford.core.configuration.ConfigurationHolder;
 import org.geraniumford.daemon.configuration.ConfigurationSync;
+import org.geraniumford.daemon.membership.HostDirectory;
+import org.geraniumford.daemon.operator.OperatorServer;
+import org.geraniumford.daemon.operator.OperatorSource;
+import org.geraniumford.daemon.operator.ProcessStatus;
 import org.geraniumford.daemon.settings.SidecarSettings;
-import org.geraniumford.transport.http.HttpLimits;
-import org.geraniumford.transport.http.HttpServer;
-import org.geraniumford.transport.link.LinkIdentity;
 import org.geraniumford.transport.link.LinkListener;
 import org.geraniumford.transport.link.LinkNetwork;
 import org.geraniumford.transport.log.LogEvent;
@@ -25,10 +25,10 @@
     private final SidecarAssembly parts;
     private final Closer closer;
     private final LinkListener links;
-    private final HttpServer operators;
+    private final OperatorServer operators;
     private final CompletableFuture<Void> closed = new CompletableFuture<>();
 
-    private SidecarDaemon(SidecarAssembly parts, Closer closer, LinkListener links, HttpServer operators) {
+    private SidecarDaemon(SidecarAssembly parts, Closer closer, LinkListener links, OperatorServer operators) {
         this.parts = parts;
         this.closer = closer;
         this.links = links;
@@ -60,22 +60,19 @@
         EventLoopGroup group = parts.network();
         AsyncHttpClient http = parts.http();
         SidecarDuty handler = parts.handler(group, http, metrics);
-        parts.run(handler);
-        ConfigurationHolder configuration = ConfigurationHolder.empty();
-        LinkNetwork network =
-                LinkNetwork.of(group, new LinkIdentity(parts.hello(), parts.incarnation(), configuration::version));
+        LinkNetwork network = LinkNetwork.of(group, parts.linkIdentity());
         PlatformClient platform = PlatformClient.of(settings.platform(), http);
-        ConfigurationSync sync = parts.configuration(configuration, platform, network);
-        parts.followHostList(platform);
+        ConfigurationSync sync = parts.follow(platform, network);
+        HostDirectory hosts = parts.followHostList(platform);
+        parts.keepOrders(handler, http, platform, hosts);
+        parts.run(handler);
         CompletableFuture<SidecarDaemon> started = new CompletableFuture<>();
-        Runnable drain = () -> started.thenAccept(SidecarDaemon::drain);
-        OperatorService service = OperatorService.of(handler::status, registry, drain);
+        OperatorSource source = new Source(handler, started);
         return network.listen(settings.linkAddress(), SidecarLinks.of(parts::offer, sync::received, metrics))
                 .thenApply(closer::add)
-                .thenCompose(
-                        links -> HttpServer.start(group, settings.operatorAddress(), HttpLimits.standard(), service)
-                                .thenApply(closer::add)
-                                .thenApply(operators -> new SidecarDaemon(parts, closer, links, operators)))
+                .thenCompose(links -> OperatorServer.start(group, settings.operatorAddress(), registry, source)
+                        .thenApply(closer::add)
+                        .thenApply(operators -> new SidecarDaemon(parts, closer, links, operators)))
                 .thenApply(daemon -> {
                     logStart(settings, daemon);
                     started.complete(daemon);
@@ -141,4 +138,22 @@
             closed.complete(null);
         }
     }
+
+    /** What the operator port tells of a sidecar. */
+    private record Source(SidecarDuty duty, CompletableFuture<SidecarDaemon> daemon) implements OperatorSource {
+        @Override
+        public boolean ready() {
+            return duty.status().ready();
+        }
+
+        @Override
+        public ProcessStatus status() {
+            return duty.status();
+        }
+
+        @Override
+        public CompletableFuture<Void> drain() {
+            return daemon.thenCompose(SidecarDaemon::drain);
+        }
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDuty.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDuty.java
@@ -1,5 +1,7 @@
 package org.geraniumford.daemon.sidecar;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,12 +14,15 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.wire.Message;
+import org.geraniumford.daemon.operator.ProcessStatus;
 import org.geraniumford.transport.duty.DutyHandler;
 import org.geraniumford.transport.log.LogEvent;
 
 /** The work of a sidecar: its backend server's state, its peers, and what they ask. */
 final class SidecarDuty implements DutyHandler<SidecarEvent> {
-    private final String processId;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final SidecarIdentity identity;
     private final ModelRequests models;
     private final PlainCalls calls;
     private final BackendWatch watch;
@@ -28,23 +33,24 @@
     private BackendState backend;
     private boolean listedLeaving;
     private Optional<CompletableFuture<Void>> finished = Optional.empty();
-    private volatile SidecarStatus status;
+    private Optional<OrderKeeper> orders = Optional.empty();
+    private boolean quiesced;
+    private volatile ProcessStatus status;
 
     private SidecarDuty(
-            String processId,
-            String service,
+            SidecarIdentity identity,
             ModelRequests models,
             PlainCalls calls,
             BackendWatch watch,
             SidecarMetrics metrics,
             LongSupplier nanoTime) {
-        this.processId = processId;
+        this.identity = identity;
         this.models = models;
         this.calls = calls;
         this.watch = watch;
         this.metrics = metrics;
         this.nanoTime = nanoTime;
-        this.backend = BackendState.down(service);
+        this.backend = BackendState.down(identity.service());
         this.status = newStatus();
         this.handlers = Map.ofEntries(
                 on(Message.Probe.class, (peer, probe) -> models.probe(peer, probe, backend, leaving())),
@@ -65,14 +71,13 @@
     // -- construction
 
     static SidecarDuty of(
-            String processId,
-            String service,
+            SidecarIdentity identity,
             ModelRequests models,
             PlainCalls calls,
             BackendWatch watch,
             SidecarMetrics metrics,
             LongSupplier nanoTime) {
-        return new SidecarDuty(processId, service, models, calls, watch, metrics, nanoTime);
+        return new SidecarDuty(identity, models, calls, watch, metrics, nanoTime);
     }
 
     // -- commands
@@ -90,6 +95,7 @@
         metrics.levels(models.index().counts(), models.waiting(), models.running());
         status = newStatus();
         finishLeaving();
+        tellOrders();
     }
 
     // -- commands: peers
@@ -132,12 +138,13 @@
     }
 
     private void answerStatus(Peer peer, long id) {
-        peer.send(new Message.StatusAnswer(id, newStatus().json()));
+        peer.send(new Message.StatusAnswer(id, json(newStatus())));
     }
 
     // -- commands: the backend server
 
     void backendSeen(BackendState seen) {
+        orders.ifPresent(keeper -> keeper.observed(seen));
         if (seen.equals(backend)
                 || (seen.up() && seen.incarnation() < models.index().incarnation())) {
             return;
@@ -173,6 +180,30 @@
                 : Refusal.notRun(Reason.STALE_INCARNATION, "the engine restarted");
     }
 
+    // -- commands: orders
+
+    /** Sets who orders the engine; before the duty starts. */
+    void orderedBy(OrderKeeper keeper) {
+        orders = Optional.of(keeper);
+    }
+
+    /** Takes no new work while an order is to be carried out; what waits is refused, what runs is finished. */
+    void quiesce(boolean closed) {
+        boolean before = leaving();
+        quiesced = closed;
+        if (closed) {
+            models.refuseWaiting(Refusal.notRun(Reason.WRONG_WEIGHTS, "the engine is about to load other weights"));
+        }
+        leavingChanged(before);
+        tellOrders();
+    }
+
+    private void tellOrders() {
+        if (quiesced && models.running() == 0) {
+            orders.ifPresent(OrderKeeper::quiet);
+        }
+    }
+
     // -- commands: leaving
 
     /** Takes no new work from now on, and completes the future once everything that runs has finished. */
@@ -223,28 +254,28 @@
     }
 
     /** Returns the state as of the last tick; callable from any thread. */
-    SidecarStatus status() {
+    ProcessStatus status() {
         return status;
     }
 
     private boolean leaving() {
-        return listedLeaving || finished.isPresent();
+        return quiesced || listedLeaving || finished.isPresent();
     }
 
     private Message.SidecarState state() {
         return backend.message(leaving(), models.estimatedWaitMicros());
     }
 
-    private SidecarStatus newStatus() {
-        return new SidecarStatus(
-                processId,
-                backend,
-                leaving(),
-                models.waiting(),
-                models.running(),
-                calls.size(),
-                models.index().size(),
-                models.index().counts());
+    private ProcessStatus newStatus() {
+        return identity.status(backend, leaving(), models.running() + calls.size(), models.waiting());
+    }
+
+    private static String json(ProcessStatus value) {
+        try {
+            return JSON.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a status is always JSON", e);
+        }
     }
 
     private static Refusal leavingRefusal() {
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarEvent.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarEvent.java
@@ -93,6 +93,14 @@
         }
     }
 
+    /** An order needs the engine without requests, or needs it no longer. */
+    record Quiesced(boolean closed) implements SidecarEvent {
+        @Override
+        public void handle(SidecarDuty duty) {
+            duty.quiesce(closed);
+        }
+    }
+
     /** The platform's host list changed. */
     record Listed(boolean leaving) implements SidecarEvent {
         @Override
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarIdentity.java
@@ -0,0 +1,32 @@
+package org.geraniumford.daemon.sidecar;
+
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.geraniumford.daemon.operator.ProcessStatus;
+
+/**
+ * What stays the same about one start of a sidecar.
+ *
+ * @param processId the process's name
+ * @param failureDomain its failure domain
+ * @param service the name of the plain service; empty for a model engine
+ * @param incarnation its start, in microseconds since the epoch
+ * @param configurationVersion supplies the configuration version in force
+ */
+record SidecarIdentity(
+        String processId, String failureDomain, String service, long incarnation, LongSupplier configurationVersion) {
+    ProcessStatus status(BackendState backend, boolean leaving, int running, int waiting) {
+        return new ProcessStatus(
+                processId,
+                "sidecar",
+                failureDomain,
+                incarnation,
+                backend.up() && !leaving,
+                leaving,
+                configurationVersion.getAsLong(),
+                running,
+                waiting,
+                backend.incarnation(),
+                List.of());
+    }
+}
