--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/ledger/CallAnswer.java
@@ -0,0 +1,18 @@
+package org.geraniumford.core.ledger;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * A plain service's answer to a call.
+ *
+ * @param status the HTTP status
+ * @param contentType the body's media type
+ * @param body the body, as text
+ */
+public record CallAnswer(int status, String contentType, String body) {
+    /** Checks the components. */
+    public CallAnswer {
+        requireNonNull(contentType, "contentType is null");
+        requireNonNull(body, "body is null");
+    }
+}
--- a/core/src/test/java/org/geraniumford/core/configuration/PublicationTest.java
+++ b/core/src/test/java/org/geraniumford/core/configuration/PublicationTest.java
@@ -152,7 +152,7 @@
     }
 
     static Stream<Arguments> lastingFaults() {
-        return IntStream.range(0, 7)
+        return IntStream.range(0, 8)
                 .boxed()
                 .flatMap(step -> Arrays.stream(Fault.values())
                         .filter(fault -> fault != Fault.NONE)
