--- a/core/src/test/java/org/geraniumford/core/ledger/ClaimMachineTest.java
+++ b/core/src/test/java/org/geraniumford/core/ledger/ClaimMachineTest.java
@@ -75,6 +75,17 @@
         assertThat(world.executions()).isZero();
     }
 
+    @Test
+    void shouldLeaveTheOtherAttemptAloneWhenItsOwnTokenWasClosed() {
+        ClaimWorld world = new ClaimWorld();
+        ClaimWorld.Entry paused = world.entry("a", "digest");
+        run(paused, Map.of(), 1);
+        ClaimWorld.Entry other = world.entry("b", "digest");
+        run(other, Map.of(), 3);
+        assertThat(refused(finish(paused, Map.of()))).isEqualTo(Reason.CALL_IN_PROGRESS);
+        assertThat(finish(other, Map.of()).told()).hasOnlyElementsOfType(ClaimAction.Answer.class);
+    }
+
     // -- fault table: every step, alone, twice and in pairs
 
     static Stream<Arguments> faults() {
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ServiceCaller.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ServiceCaller.java
@@ -7,7 +7,7 @@
 import org.geraniumford.core.wire.Message;
 
 /** Makes the calls of plain services for callers. */
-interface ServiceCaller {
+public interface ServiceCaller {
     /**
      * One call as a caller asked for it.
      *
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/calls/ServiceCallsTest.java
@@ -0,0 +1,146 @@
+package org.geraniumford.daemon.calls;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import org.geraniumford.core.configuration.Customer;
+import org.geraniumford.core.configuration.PlainService;
+import org.geraniumford.core.tokens.TokenRegister;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.RefusalException;
+import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.core.wire.TokenState;
+import org.geraniumford.daemon.entry.CallGateway;
+import org.geraniumford.daemon.entry.ServiceCaller.ServiceRequest;
+import org.geraniumford.daemon.store.MemoryStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class ServiceCallsTest {
+    private static final long WAIT_SECONDS = 30;
+    private static final PlainService SENDS = new PlainService("sends", Set.of("GET"), Duration.ofSeconds(5));
+
+    private final MemoryStore store = new MemoryStore();
+    private final Service service = new Service();
+    private final ServiceCalls first = ServiceCalls.start(store, service, "entry-1", 1);
+    private final ServiceCalls second = ServiceCalls.start(store, service, "entry-2", 1);
+
+    @AfterEach
+    void close() {
+        first.close();
+        second.close();
+    }
+
+    @Test
+    void shouldGiveTheSameAnswerWhenAnotherEntryGetsTheKeyAgain() {
+        Message.CallResult answer = answer(first.call(request("key", "body")));
+        assertThat(answer.body()).isEqualTo("run 1");
+        Message.CallResult again = eventually(() -> second.call(request("key", "body")));
+        assertThat(again.body()).isEqualTo("run 1");
+        assertThat(service.runs).hasValue(1);
+    }
+
+    @Test
+    void shouldRunEachKeyOnceWhenManyCallersRaceOnTwoEntries() {
+        List<CompletableFuture<Message.CallResult>> answers = IntStream.range(0, 200)
+                .mapToObj(i -> (i % 2 == 0 ? first : second).call(request("key-" + i / 4, "body")))
+                .toList();
+        answers.forEach(one -> one.handle((result, failure) -> 0).orTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .join());
+        assertThat(service.runs.get()).isLessThanOrEqualTo(50);
+        IntStream.range(0, 50).forEach(i -> eventually(() -> first.call(request("key-" + i, "body"))));
+        assertThat(service.runs).hasValue(50);
+    }
+
+    @Test
+    void shouldRefuseWithAConflictWhenTheBodyDiffers() {
+        answer(first.call(request("key", "body")));
+        assertRefused(second.call(request("key", "other")), Reason.IDEMPOTENCY_CONFLICT, Verdict.NOT_RUN);
+        assertThat(service.runs).hasValue(1);
+    }
+
+    @Test
+    void shouldRefuseAsNotRunWithATimeToComeBackWhenTheStoreIsDown() {
+        store.down(true);
+        assertRefused(first.call(request("key", "body")), Reason.STORE_UNAVAILABLE, Verdict.NOT_RUN);
+        assertThat(service.runs).hasValue(0);
+    }
+
+    @Test
+    void shouldWriteNoClaimWhenNoHostServesTheService() {
+        service.hosts = List.of();
+        assertRefused(first.call(request("key", "body")), Reason.NO_BACKEND, Verdict.NOT_RUN);
+        assertThat(store.transactions()).isZero();
+    }
+
+    // -- parts
+
+    private static void assertRefused(CompletableFuture<Message.CallResult> call, Reason reason, Verdict verdict) {
+        assertThatThrownBy(() -> answer(call))
+                .hasCauseInstanceOf(RefusalException.class)
+                .satisfies(failure -> {
+                    var refusal = RefusalException.refusalOf(failure, Verdict.RAN);
+                    assertThat(refusal.reason()).isEqualTo(reason);
+                    assertThat(refusal.verdict()).isEqualTo(verdict);
+                    assertThat(refusal.retryAfter().isZero()).isEqualTo(!reason.retryable());
+                });
+    }
+
+    private static Message.CallResult answer(CompletableFuture<Message.CallResult> call) {
+        return call.orTimeout(WAIT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /** Repeats a call while its outcome is still being recorded. */
+    private static Message.CallResult eventually(
+            Supplier<CompletableFuture<Message.CallResult>> call) {
+        return call.get()
+                .orTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
+                .exceptionallyCompose(failure -> {
+                    Reason reason = RefusalException.refusalOf(failure, Verdict.RAN).reason();
+                    return reason == Reason.CALL_IN_PROGRESS
+                            ? CompletableFuture.supplyAsync(() -> eventually(call))
+                            : CompletableFuture.failedFuture(failure);
+                })
+                .join();
+    }
+
+    private static ServiceRequest request(String key, String body) {
+        Customer customer = new Customer("amahoro", "Amahoro", Set.of(), 1, Set.of(), Set.of(), 0, 0, 0);
+        return new ServiceRequest("r-1", customer, SENDS, "POST", "/sends", "text/plain", body, Optional.of(key));
+    }
+
+    /** A plain service behind one sidecar. */
+    private static final class Service implements CallGateway {
+        private final TokenRegister tokens = TokenRegister.start(0, Duration.ZERO, 10_000);
+        private final AtomicInteger runs = new AtomicInteger();
+        private volatile List<String> hosts = List.of("service-1");
+
+        @Override
+        public List<String> candidates(String name) {
+            return hosts;
+        }
+
+        @Override
+        public synchronized CompletableFuture<Message.CallResult> call(String host, Message.Call call) {
+            return tokens.pass(call.attemptToken(), call.tokenIssuedMicros())
+                    .map(refusal -> CompletableFuture.<Message.CallResult>failedFuture(refusal.toException()))
+                    .orElseGet(() -> CompletableFuture.completedFuture(
+                            new Message.CallResult(call.id(), 201, "text/plain", "run " + runs.incrementAndGet())));
+        }
+
+        @Override
+        public synchronized CompletableFuture<TokenState> closeToken(String host, String token, long issuedMicros) {
+            return CompletableFuture.completedFuture(tokens.close(token, issuedMicros));
+        }
+    }
+}
