--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -12,6 +11,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -24,8 +24,8 @@
 import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
+import org.geraniumford.daemon.operator.ProcessStatus;
 import org.geraniumford.daemon.settings.EntrySettings;
-import org.geraniumford.transport.http.HttpLimits;
 import org.geraniumford.transport.http.HttpServer;
 import org.geraniumford.transport.link.LinkIdentity;
 import org.geraniumford.transport.link.LinkListener;
@@ -38,7 +38,8 @@
     private static final long GROUP_STOP_SECONDS = 5;
 
     private final EntrySettings settings;
-    private final EntryEnvironment environment;
+    private final ConfigurationHolder configurations;
+    private final EntryEnvironment.Factory environments;
     private final Closer closer = Closer.empty();
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final EntryMetrics metrics = EntryMetrics.of(registry);
@@ -51,9 +52,11 @@
     private HttpServer callers;
     private LinkListener links;
 
-    private EntryDaemon(EntrySettings settings, EntryEnvironment environment) {
+    private EntryDaemon(
+            EntrySettings settings, ConfigurationHolder configurations, EntryEnvironment.Factory environments) {
         this.settings = settings;
-        this.environment = environment;
+        this.configurations = configurations;
+        this.environments = environments;
     }
 
     // -- construction
@@ -65,20 +68,13 @@
      * @return the running entry, or the failure to start it
      */
     public static CompletableFuture<EntryDaemon> start(EntrySettings settings) {
-        return start(settings, EntryEnvironment.of(ConfigurationHolder.empty()));
+        requireNonNull(settings, "settings is null");
+        return start(settings, ConfigurationHolder.empty(), EntryEnvironment.platform(settings));
     }
 
-    /**
-     * Starts an entry.
-     *
-     * @param settings its settings
-     * @param environment what it takes from the other parts of its process
-     * @return the running entry, or the failure to start it
-     */
-    public static CompletableFuture<EntryDaemon> start(EntrySettings settings, EntryEnvironment environment) {
-        requireNonNull(settings, "settings is null");
-        requireNonNull(environment, "environment is null");
-        EntryDaemon daemon = new EntryDaemon(settings, environment);
+    static CompletableFuture<EntryDaemon> start(
+            EntrySettings settings, ConfigurationHolder configurations, EntryEnvironment.Factory environments) {
+        EntryDaemon daemon = new EntryDaemon(settings, configurations, environments);
         return daemon.open().thenApply(done -> daemon).whenComplete((done, failure) -> {
             if (failure != null) {
                 daemon.close();
@@ -91,21 +87,23 @@
         closer.add(() -> group.shutdownGracefully(0, GROUP_STOP_SECONDS, TimeUnit.SECONDS)
                 .await(GROUP_STOP_SECONDS, TimeUnit.SECONDS));
         LinkNetwork network = LinkNetwork.of(group, identity());
+        EntryEnvironment environment = environments.open(configurations, network, incarnation, closer);
         ModelShards shards = closer.add(ModelShards.start(shardParts(), incarnation));
-        SidecarCalls calls = SidecarCalls.of(peers, settings.failureDomain());
-        EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, calls));
+        SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
+        EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, gateway));
         EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
         closer.add(PeerPool.start(network, targets, peers, receiver));
         CallerService service = new CallerService(
-                environment.configurations(),
+                configurations,
                 RequestIds.of(settings.processId(), incarnation),
                 shards,
-                new IdempotentCalls(calls),
+                environment.calls().apply(gateway),
                 metrics,
                 inFlight);
         return network.listen(settings.linkAddress(), receiver)
                 .thenAccept(listener -> links = closer.add(listener))
-                .thenCompose(done -> HttpServer.start(group, settings.callerAddress(), HttpLimits.standard(), service))
+                .thenCompose(
+                        done -> HttpServer.start(group, settings.callerAddress(), settings.callerLimits(), service))
                 .thenAccept(server -> callers = closer.add(server))
                 .thenRun(this::logStart);
     }
@@ -119,7 +117,7 @@
 
     private LinkIdentity identity() {
         Message.Hello hello = new Message.Hello(settings.processId(), Role.ENTRY, settings.failureDomain(), "");
-        return new LinkIdentity(hello, incarnation, environment.configurations()::version);
+        return new LinkIdentity(hello, incarnation, configurations::version);
     }
 
     private void logStart() {
@@ -158,7 +156,7 @@
      */
     public boolean ready() {
         return !inFlight.draining()
-                && environment.configurations().version() > 0
+                && configurations.version() > 0
                 && peers.all().stream().anyMatch(peer -> peer.state().isPresent());
     }
 
@@ -167,10 +165,30 @@
      *
      * @return the registry of the entry's meters
      */
-    public MeterRegistry registry() {
+    public PrometheusMeterRegistry registry() {
         return registry;
     }
 
+    /**
+     * Describes the entry and the processes that it is connected to.
+     *
+     * @return the present state
+     */
+    public ProcessStatus status() {
+        return new ProcessStatus(
+                settings.processId(),
+                Role.ENTRY.name().toLowerCase(Locale.ROOT),
+                settings.failureDomain(),
+                incarnation,
+                ready(),
+                inFlight.draining(),
+                configurations.version(),
+                inFlight.count(),
+                0,
+                0,
+                peers.all().stream().map(Peer::status).toList());
+    }
+
     /**
      * Returns why requests went where they went.
      *
--- a/trials/src/main/java/org/geraniumford/trials/caller/Caller.java
+++ b/trials/src/main/java/org/geraniumford/trials/caller/Caller.java
@@ -56,12 +56,26 @@
      * @return what came
      */
     public CompletableFuture<ModelAnswer> stream(String model, List<String> levels, int maxTokens) {
+        return stream(model, levels, maxTokens, () -> {});
+    }
+
+    /**
+     * Sends a streamed chat completion and reads the answer to its end.
+     *
+     * @param model the model's name
+     * @param levels the prompt's levels; the last one is the question
+     * @param maxTokens the longest answer, in tokens
+     * @param onFirstToken called when the first text arrives
+     * @return what came
+     */
+    public CompletableFuture<ModelAnswer> stream(
+            String model, List<String> levels, int maxTokens, Runnable onFirstToken) {
         long sent = System.nanoTime();
         HttpRequest request = request("/v1/chat/completions")
                 .POST(HttpRequest.BodyPublishers.ofString(body(model, levels, maxTokens)))
                 .build();
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofLines())
-                .thenApplyAsync(response -> read(response, sent));
+                .thenApplyAsync(response -> read(response, sent, onFirstToken));
     }
 
     /**
@@ -99,8 +113,8 @@
         return body.toString();
     }
 
-    private static ModelAnswer read(HttpResponse<Stream<String>> response, long sent) {
-        ModelAnswer.Reader reader = new ModelAnswer.Reader(response.statusCode(), sent);
+    private static ModelAnswer read(HttpResponse<Stream<String>> response, long sent, Runnable onFirstToken) {
+        ModelAnswer.Reader reader = new ModelAnswer.Reader(response.statusCode(), sent, onFirstToken);
         try (Stream<String> lines = response.body()) {
             lines.filter(line -> !line.isBlank()).forEach(line -> readLine(reader, line));
         } catch (UncheckedIOException e) {
