Load tool: scenarios, open-loop runs, offline bound, reports

Cause: the policies need one seeded load and one yardstick. Ruled out: counting from the actual sending (hides the waits of a late sender); one random stream for all customers (a flood of one would change the others' arrivals). Seen to fail: see the tests' names; a bound that is off by one piece, arrivals that depend on the flood, and a stream without its end taken as complete each failed. Conclusion: the tool works against a fake entry; the experiment on real processes is next.

--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/AnswerReader.java
@@ -0,0 +1,124 @@
+package org.geraniumford.daemon.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.LongSupplier;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+
+/** Reads a streamed answer and notes when its first token came. */
+final class AnswerReader implements AsyncHandler<Outcome> {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String DATA = "data: ";
+    private static final String DONE = "[DONE]";
+    private static final int OK = 200;
+
+    private final int customer;
+    private final LongSupplier elapsedMicros;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private int status;
+    private long firstToken = -1;
+    private boolean done;
+    private String reason = "";
+    private int cachedPieces;
+    private int pieces;
+    private int attempts;
+
+    AnswerReader(int customer, LongSupplier elapsedMicros) {
+        this.customer = customer;
+        this.elapsedMicros = elapsedMicros;
+    }
+
+    // -- the connection
+
+    @Override
+    public State onStatusReceived(HttpResponseStatus received) {
+        status = received.getStatusCode();
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onHeadersReceived(HttpHeaders headers) {
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onBodyPartReceived(HttpResponseBodyPart part) {
+        for (byte next : part.getBodyPartBytes()) {
+            if (next == '\n') {
+                readLine();
+            } else {
+                line.write(next);
+            }
+        }
+        return State.CONTINUE;
+    }
+
+    @Override
+    public void onThrowable(Throwable failure) {
+        reason = failure.getClass().getSimpleName();
+    }
+
+    @Override
+    public Outcome onCompleted() {
+        readLine();
+        return outcome();
+    }
+
+    // -- queries
+
+    Outcome outcome() {
+        boolean brokenOff = status == OK && !done && reason.isEmpty();
+        String cause = brokenOff ? "stream_without_end" : reason;
+        return new Outcome(
+                customer, status, cause, firstToken, elapsedMicros.getAsLong(), cachedPieces, pieces, attempts);
+    }
+
+    // -- events
+
+    private void readLine() {
+        String text = line.toString(StandardCharsets.UTF_8).trim();
+        line.reset();
+        if (text.equals(DATA + DONE)) {
+            done = true;
+        } else if (text.startsWith(DATA)) {
+            readEvent(text.substring(DATA.length()));
+        } else if (status != OK && text.startsWith("{")) {
+            readEvent(text);
+        }
+    }
+
+    private void readEvent(String json) {
+        try {
+            JsonNode event = MAPPER.readTree(json);
+            if (event.has("error")) {
+                reason = event.path("error").path("reason").asText("unknown");
+            }
+            if (firstToken < 0 && hasText(event)) {
+                firstToken = elapsedMicros.getAsLong();
+            }
+            if (event.has("geraniumford")) {
+                readSource(event.get("geraniumford"));
+            }
+        } catch (JsonProcessingException e) {
+            reason = "malformed_answer";
+        }
+    }
+
+    private static boolean hasText(JsonNode event) {
+        JsonNode choice = event.path("choices").path(0);
+        return !choice.path("text").asText("").isEmpty()
+                || !choice.path("delta").path("content").asText("").isEmpty();
+    }
+
+    private void readSource(JsonNode source) {
+        cachedPieces = source.path("cached_pieces").asInt();
+        pieces = source.path("pieces").asInt();
+        attempts = source.path("attempts").asInt();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/LoadReport.java
@@ -0,0 +1,114 @@
+package org.geraniumford.daemon.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Results as text for people and for programs. */
+public final class LoadReport {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .enable(SerializationFeature.INDENT_OUTPUT)
+            .build();
+    private static final String ROW = "%-14s %8s %9s %7s %9s %9s %9s %7s %7s %6s";
+
+    private LoadReport() {}
+
+    // -- queries
+
+    /**
+     * Writes a value as JSON.
+     *
+     * @param result a result, or a list of results
+     * @return the text
+     */
+    public static String json(Object result) {
+        try {
+            return MAPPER.writeValueAsString(result);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a result can be written", e);
+        }
+    }
+
+    /**
+     * Writes a result as a table: one row for all requests and one for each customer.
+     *
+     * @param result the result
+     * @return the lines
+     */
+    public static String table(LoadResult result) {
+        Stream<String> head = Stream.of(
+                "scenario=%s label=%s seed=%d".formatted(result.scenario(), result.label(), result.seed()),
+                ROW.formatted(
+                        "", "requests", "complete", "good", "p50 ms", "p95 ms", "p99 ms", "hit", "bound", "jain"));
+        Stream<String> all = Stream.of(ROW.formatted(
+                "all",
+                result.requests(),
+                result.completed(),
+                result.good(),
+                millis(result.firstToken().p50Millis()),
+                millis(result.firstToken().p95Millis()),
+                millis(result.firstToken().p99Millis()),
+                fraction(result.hitRate()),
+                fraction(result.bound().hitRate()),
+                fraction(result.jainIndex())));
+        Stream<String> customers = result.customers().stream().map(LoadReport::row);
+        Stream<String> refusals = result.refusals().entrySet().stream()
+                .map(entry -> "refused reason=" + entry.getKey() + " count=" + entry.getValue());
+        return Stream.of(head, all, customers, refusals).flatMap(lines -> lines).collect(Collectors.joining("\n"));
+    }
+
+    private static String row(LoadResult.CustomerResult customer) {
+        return ROW.formatted(
+                        customer.name(),
+                        customer.requests(),
+                        customer.completed(),
+                        "",
+                        millis(customer.firstToken().p50Millis()),
+                        millis(customer.firstToken().p95Millis()),
+                        millis(customer.firstToken().p99Millis()),
+                        "",
+                        "",
+                        "")
+                .stripTrailing();
+    }
+
+    /**
+     * Lays out rows of cells as a Markdown table.
+     *
+     * @param head the columns' names
+     * @param rows the cells
+     * @return the lines
+     */
+    public static String markdown(List<String> head, List<List<String>> rows) {
+        List<String> rule = head.stream().map(name -> "---").toList();
+        return Stream.concat(Stream.of(head, rule), rows.stream())
+                .map(cells -> "| " + String.join(" | ", cells) + " |")
+                .collect(Collectors.joining("\n"));
+    }
+
+    /**
+     * Writes a time.
+     *
+     * @param millis milliseconds
+     * @return whole milliseconds
+     */
+    public static String millis(double millis) {
+        return "%.0f".formatted(millis);
+    }
+
+    /**
+     * Writes a fraction.
+     *
+     * @param fraction usually from 0 to 1
+     * @return three decimals
+     */
+    public static String fraction(double fraction) {
+        return "%.3f".formatted(fraction);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/SvgChart.java
@@ -0,0 +1,94 @@
+package org.geraniumford.daemon.load;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** A bar chart in SVG: one panel for each measure, one bar for each run. */
+public final class SvgChart {
+    private static final int PANEL_WIDTH = 320;
+    private static final int PANEL_HEIGHT = 240;
+    private static final int PLOT_HEIGHT = 160;
+    private static final int TOP = 40;
+    private static final int MARGIN = 24;
+    private static final List<String> COLOURS =
+            List.of("#4269d0", "#efb118", "#ff725c", "#6cc5b0", "#3ca951", "#a463f2");
+
+    private SvgChart() {}
+
+    // -- queries
+
+    /**
+     * Draws the panels side by side.
+     *
+     * @param panels the measures
+     * @return an SVG document
+     */
+    public static String of(List<Panel> panels) {
+        String body = IntStream.range(0, panels.size())
+                .mapToObj(i -> panel(panels.get(i), i * PANEL_WIDTH))
+                .collect(Collectors.joining("\n"));
+        return """
+                <svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">
+                %s
+                </svg>
+                """.formatted(panels.size() * PANEL_WIDTH, PANEL_HEIGHT, body);
+    }
+
+    private static String panel(Panel panel, int left) {
+        double largest = panel.bars.stream().mapToDouble(Bar::value).max().orElse(0);
+        double scale = largest == 0 ? 0 : PLOT_HEIGHT / largest;
+        int width = (PANEL_WIDTH - 2 * MARGIN) / Math.max(1, panel.bars.size());
+        String bars = IntStream.range(0, panel.bars.size())
+                .mapToObj(i -> bar(panel.bars.get(i), i, left + MARGIN + i * width, width, scale))
+                .collect(Collectors.joining("\n"));
+        return "<text x=\"%d\" y=\"20\" font-size=\"13\">%s</text>\n%s"
+                .formatted(left + MARGIN, escaped(panel.title), bars);
+    }
+
+    private static String bar(Bar bar, int number, int x, int width, double scale) {
+        int height = (int) Math.round(bar.value * scale);
+        int y = TOP + PLOT_HEIGHT - height;
+        int middle = x + width / 2;
+        return """
+                <rect x="%d" y="%d" width="%d" height="%d" fill="%s"/>
+                <text x="%d" y="%d" text-anchor="middle">%s</text>
+                <text x="%d" y="%d" text-anchor="middle">%s</text>""".formatted(
+                        x + 2,
+                        y,
+                        width - 4,
+                        height,
+                        COLOURS.get(number % COLOURS.size()),
+                        middle,
+                        y - 4,
+                        bar.value >= 100 ? LoadReport.millis(bar.value) : LoadReport.fraction(bar.value),
+                        middle,
+                        TOP + PLOT_HEIGHT + 16,
+                        escaped(bar.label));
+    }
+
+    private static String escaped(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
+    }
+
+    /**
+     * One measure.
+     *
+     * @param title its name and unit
+     * @param bars the runs
+     */
+    public record Panel(String title, List<Bar> bars) {
+        /** Copies the list. */
+        public Panel {
+            bars = List.copyOf(bars);
+        }
+    }
+
+    /**
+     * One run's value.
+     *
+     * @param label the run
+     * @param value the value, at least 0
+     */
+    public record Bar(String label, double value) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/Trace.java
@@ -0,0 +1,96 @@
+package org.geraniumford.daemon.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/**
+ * Seeded arrivals. Each customer has its own Poisson process and its own seed, so that a flood of one changes no
+ * arrival of the others.
+ */
+public final class Trace {
+    private static final double MICROS = TimeUnit.SECONDS.toMicros(1);
+    private static final long CUSTOMER_SEED_STEP = 0x9e3779b97f4a7c15L;
+
+    private final Scenario scenario;
+    private final Zipf groups;
+    private final Zipf documents;
+
+    private Trace(Scenario scenario) {
+        this.scenario = scenario;
+        this.groups = Zipf.of(scenario.prompts().groups(), scenario.prompts().skew());
+        this.documents =
+                Zipf.of(scenario.prompts().documents(), scenario.prompts().skew());
+    }
+
+    /**
+     * Generates the arrivals of a scenario.
+     *
+     * @param scenario what to send
+     * @param seed equal seeds give equal arrivals
+     * @return the arrivals in the order of time
+     */
+    public static List<Arrival> of(Scenario scenario, long seed) {
+        Trace trace = new Trace(scenario);
+        return IntStream.range(0, scenario.traffic().customers())
+                .boxed()
+                .flatMap(customer -> trace.arrivals(customer, seed).stream())
+                .sorted(Comparator.comparingLong(Arrival::atMicros).thenComparingInt(Arrival::customer))
+                .toList();
+    }
+
+    private List<Arrival> arrivals(int customer, long seed) {
+        SplittableRandom random = new SplittableRandom(seed + (customer + 1) * CUSTOMER_SEED_STEP);
+        double rate = scenario.traffic().rate() * scenario.share(customer);
+        List<Arrival> arrivals = new ArrayList<>();
+        double second = interval(random, rate, customer, 0);
+        while (second < scenario.traffic().seconds()) {
+            arrivals.add(arrival(random, customer, second, arrivals.size()));
+            second += interval(random, rate, customer, second);
+        }
+        return arrivals;
+    }
+
+    private double interval(SplittableRandom random, double rate, int customer, double second) {
+        double present = rate * scenario.flood().factorAt(customer, second);
+        return -Math.log(1 - random.nextDouble()) / present;
+    }
+
+    private Arrival arrival(SplittableRandom random, int customer, double second, int number) {
+        int group = groups.sample(random);
+        int document = documents.sample(random);
+        double toHot = random.nextDouble();
+        int hot = random.nextInt(scenario.hot().documents());
+        if (toHot < scenario.hot().share()) {
+            int shifted = hot + hotShift(second);
+            group = shifted % scenario.prompts().groups();
+            document =
+                    shifted / scenario.prompts().groups() % scenario.prompts().documents();
+        }
+        return new Arrival(Math.round(second * MICROS), customer, levels(customer, group, document, number));
+    }
+
+    private int hotShift(double second) {
+        Scenario.Hot hot = scenario.hot();
+        if (hot.shiftSeconds() == 0) {
+            return 0;
+        }
+        int shifts = (int) (second / hot.shiftSeconds());
+        return shifts * hot.documents();
+    }
+
+    private List<Arrival.Level> levels(int customer, int group, int document, int question) {
+        Scenario.Prompts prompts = scenario.prompts();
+        String house = "c" + customer;
+        String groupName = house + "/g" + group;
+        String documentName = groupName + "/d" + document;
+        return List.of(
+                new Arrival.Level(house, prompts.housePieces() * prompts.pieceTokens()),
+                new Arrival.Level(groupName, prompts.groupPieces() * prompts.pieceTokens()),
+                new Arrival.Level(documentName, prompts.documentPieces() * prompts.pieceTokens()),
+                new Arrival.Level(house + "/q" + question, prompts.questionTokens()));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/load/LoadRunTest.java
@@ -0,0 +1,144 @@
+package org.geraniumford.daemon.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.geraniumford.core.configuration.ConfigurationParser;
+import org.geraniumford.core.configuration.ParsedConfiguration;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.transport.http.HttpExchange;
+import org.geraniumford.transport.http.HttpLimits;
+import org.geraniumford.transport.http.HttpServer;
+import org.geraniumford.transport.http.HttpService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class LoadRunTest {
+    private static final String TOKEN = "{\"choices\":[{\"delta\":{\"content\":\" ikipe\"}}]}";
+    private static final String SOURCE =
+            "{\"choices\":[],\"geraniumford\":{\"cached_pieces\":2,\"pieces\":4,\"attempts\":2}}";
+    private static final String ERROR = "{\"error\":{\"reason\":\"%s\",\"verdict\":\"not_run\"}}";
+    private static final String SHORT = "[traffic]\nseconds = 2\nrate = 10\ntime_scale = 20\ncustomers = 2\n";
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully().awaitUninterruptibly();
+    }
+
+    enum Answer {
+        WHOLE("", 200, TOKEN, SOURCE, "[DONE]"),
+        WITHOUT_END("stream_without_end", 200, TOKEN),
+        BROKEN("stream_broken", 200, TOKEN, ERROR.formatted("stream_broken")),
+        REFUSED("queue_full", 503, ERROR.formatted("queue_full")),
+        CUT("RemotelyClosedException", 0);
+
+        private final String reason;
+        private final int status;
+        private final String events;
+
+        Answer(String reason, int status, String... events) {
+            this.reason = reason;
+            this.status = status;
+            this.events = String.join("\n", events);
+        }
+
+        void send(HttpExchange exchange) {
+            if (status == 0) {
+                exchange.abort();
+            } else if (status == 200) {
+                exchange.startEvents(Map.of());
+                events.lines().forEach(exchange::sendEvent);
+                exchange.endEvents();
+            } else {
+                exchange.respondJson(status, events);
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void shouldNameWhatBecameOfEachRequestWhenTheEntryAnswers(Answer answer) throws InterruptedException {
+        Scenario scenario = ScenarioReader.read("s.ini", SHORT.getBytes(StandardCharsets.UTF_8));
+        List<Arrival> trace = Trace.of(scenario, 3);
+        List<Outcome> outcomes = LoadRun.run(scenario, new LoadTarget(List.of(start(answer))), trace, line -> {});
+        assertThat(outcomes).hasSameSizeAs(trace).allSatisfy(outcome -> {
+            assertThat(outcome.reason()).isEqualTo(answer.reason);
+            assertThat(outcome.firstTokenMicros() >= 0).isEqualTo(answer.events.startsWith(TOKEN));
+        });
+        LoadResult result = LoadResult.of(scenario, "run", 3, trace, outcomes);
+        boolean whole = answer == Answer.WHOLE;
+        assertThat(result.completed()).isEqualTo(whole ? trace.size() : 0);
+        assertThat(result.retried()).isEqualTo(whole ? trace.size() : 0);
+        assertThat(result.hitRate()).isEqualTo(whole ? 0.5 : 0);
+        assertThat(result.jainIndex()).isEqualTo(whole ? 1.0 : 0);
+        assertThat(result.refusals().values().stream()
+                        .mapToLong(Long::longValue)
+                        .sum())
+                .isEqualTo(whole ? 0 : trace.size());
+    }
+
+    @Test
+    void shouldPrintTableAndWriteResultWhenTheCommandRuns(@TempDir Path folder) throws IOException {
+        Path scenario = Files.writeString(folder.resolve("short.ini"), SHORT);
+        Path result = folder.resolve("result.json");
+        StringWriter out = new StringWriter();
+        String entry = start(Answer.WHOLE).toString();
+        int code = LoadCommand.run(
+                new String[] {"--scenario", scenario.toString(), "--entry", entry, "--result", result.toString()},
+                new PrintWriter(out));
+        assertThat(code).isZero();
+        assertThat(out.toString()).contains("scenario=short label=run seed=1", "customer-2");
+        assertThat(Files.readString(result)).contains("\"hit_rate\" : 0.5");
+    }
+
+    @Test
+    void shouldFailWithUsageWhenOptionsAreWrong() {
+        StringWriter out = new StringWriter();
+        assertThat(LoadCommand.run(new String[] {"--scenaro", "x"}, new PrintWriter(out)))
+                .isEqualTo(2);
+        assertThat(out.toString()).contains("scenaro");
+    }
+
+    @Test
+    void shouldPrintAConfigurationThatTheRouterAccepts() {
+        Scenario scenario = ScenarioReader.read("s.ini", SHORT.getBytes(StandardCharsets.UTF_8));
+        assertThat(ConfigurationParser.parse(1, LoadConfiguration.text(scenario)))
+                .isInstanceOf(ParsedConfiguration.Accepted.class);
+    }
+
+    private URI start(Answer answer) {
+        HttpService service = new HttpService() {
+            @Override
+            public void handle(HttpExchange exchange) {
+                answer.send(exchange);
+            }
+
+            @Override
+            public void rejected(HttpExchange exchange, Reason reason) {
+                exchange.abort();
+            }
+        };
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        HttpServer server =
+                HttpServer.start(group, anyPort, HttpLimits.standard(), service).join();
+        return URI.create("http://127.0.0.1:" + server.address().getPort());
+    }
+}
--- a/stand-ins/src/main/java/org/geraniumford/standins/StandInCommand.java
+++ b/stand-ins/src/main/java/org/geraniumford/standins/StandInCommand.java
@@ -69,7 +69,7 @@
         EngineTiming times = standard.timing();
         OptionSpec<Integer> port = number(parser, "port", "port on loopback; 0 takes a free one", 0);
         OptionSpec<String> version = text(parser, "model-version", "model version", standard.modelVersion());
-        OptionSpec<String> weights = text(parser, "weights", "digest of the weights", standard.weightsDigest());
+        OptionSpec<String> weights = text(parser, "weights-digest", "digest of the weights", standard.weightsDigest());
         OptionSpec<Integer> capacity =
                 number(parser, "capacity-pieces", "cache size in pieces", standard.capacityPieces());
         OptionSpec<Integer> slots = number(parser, "slots", "requests that run at once", standard.slots());
--- a/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
@@ -61,7 +61,12 @@
         for (int i = 0; i < plan.services().size(); i++) {
             startService(plan.services().get(i), i);
         }
-        command("config", "apply", "--platform", platformAddress(), plan.configuration().toString());
+        command(
+                "config",
+                "apply",
+                "--platform",
+                platformAddress(),
+                plan.configuration().toString());
         for (int i = 0; i < plan.entries(); i++) {
             startEntry(i, Listen.free());
         }
--- a/trials/src/main/java/org/geraniumford/trials/deployment/PlatformControl.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/PlatformControl.java
@@ -40,12 +40,9 @@
      * @param state {@code live} or {@code leaving}
      * @throws IOException if the platform refuses
      */
-    public void register(String name, String kind, String link, String failureDomain, String state)
-            throws IOException {
-        String body =
-                """
-                {"name":"%s","kind":"%s","address":"%s","failure_domain":"%s","state":"%s"}"""
-                        .formatted(name, kind, link, failureDomain, state);
+    public void register(String name, String kind, String link, String failureDomain, String state) throws IOException {
+        String body = """
+                {"name":"%s","kind":"%s","address":"%s","failure_domain":"%s","state":"%s"}""".formatted(name, kind, link, failureDomain, state);
         send("PUT", "/hosts/" + name, body);
     }
 
@@ -66,8 +63,8 @@
         try {
             HttpResponse<String> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
             if (response.statusCode() >= 300) {
-                throw new IOException(method + " " + path + " answered " + response.statusCode() + ": "
-                        + response.body());
+                throw new IOException(
+                        method + " " + path + " answered " + response.statusCode() + ": " + response.body());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/trials/src/main/java/org/geraniumford/trials/deployment/SettingsFiles.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/SettingsFiles.java
@@ -29,8 +29,7 @@
             DaemonHost host, Listen listen, String backend, String service, List<String> seeds, List<String> more)
             throws IOException {
         List<String> lines = java.util.stream.Stream.concat(
-                        java.util.stream.Stream.of(
-                                "[backend]", "address = http://" + backend, "service = " + service),
+                        java.util.stream.Stream.of("[backend]", "address = http://" + backend, "service = " + service),
                         more.stream())
                 .toList();
         return write(host, "", listen, seeds, lines);
@@ -38,8 +37,7 @@
 
     private Path write(DaemonHost host, String caller, Listen listen, List<String> seeds, List<String> more)
             throws IOException {
-        String text =
-                """
+        String text = """
                 [process]
                 id = %s
                 failure_domain = %s
@@ -53,15 +51,14 @@
                 seeds = %s
                 [tls]
                 insecure = true
-                """
-                        .formatted(
-                                host.name(),
-                                host.failureDomain(),
-                                listen.operator(),
-                                listen.link(),
-                                caller,
-                                platform,
-                                String.join(",", seeds));
+                """.formatted(
+                        host.name(),
+                        host.failureDomain(),
+                        listen.operator(),
+                        listen.link(),
+                        caller,
+                        platform,
+                        String.join(",", seeds));
         return Files.writeString(folder.resolve(host.name() + ".ini"), text + String.join("\n", more) + "\n");
     }
 
