A cold prefix is computed where later requests look for it; calls at most once are wired

Cause: of two hosts without a prefix the entry took the nearer one, also when that was only the spare host drawn by the request; the next request did not look there. ProcessFailureTest's three mid-stream cases failed for it: the second identical prompt went to another runner with nothing cached. Ruled out: lost probes and late cache events, by the explain records of a running demo (answers came, and the chosen spare was not a candidate the next time). Change: the spare pays for the shared tokens that it would compute, unless the prefix's own host is saturated; the shards share one hint cache; calls that may not be repeated go to ServiceCalls.

--- a/core/src/main/java/org/geraniumford/core/routing/Chooser.java
+++ b/core/src/main/java/org/geraniumford/core/routing/Chooser.java
@@ -40,8 +40,10 @@
         Optional<Offer> fullest = plain.stream()
                 .filter(offer -> !costs.saturated(offer.waitMicros()))
                 .max(Comparator.comparingInt(Offer::pendingPieces));
+        boolean homeTakesMore = plain.stream()
+                .anyMatch(offer -> offer.source() == Candidate.Source.PREFIX && !costs.saturated(offer.waitMicros()));
         return plain.stream()
-                .map(offer -> withDuplication(query, offer, fullest))
+                .map(offer -> withDuplication(query, offer, fullest, homeTakesMore))
                 .sorted(Comparator.comparingLong(Offer::costMicros))
                 .toList();
     }
@@ -86,11 +88,18 @@
         return costs.prefillMicros(missed + computedByOthers * costs.pendingShare());
     }
 
-    private Offer withDuplication(RouteQuery query, Offer offer, Optional<Offer> fullest) {
+    /**
+     * Adds the penalty for tokens that would be computed again: by copying what another candidate holds, or by
+     * computing a shared prefix on a host where later requests do not look for it.
+     */
+    private Offer withDuplication(RouteQuery query, Offer offer, Optional<Offer> fullest, boolean homeTakesMore) {
         long copied = fullest.map(
                         full -> query.tokensFrom(offer.pendingPieces()) - query.tokensFrom(full.pendingPieces()))
-                .filter(tokens -> tokens > 0)
                 .orElse(0L);
+        long misplaced = offer.source() == Candidate.Source.SPARE && homeTakesMore
+                ? query.tokensFrom(offer.pendingPieces()) - query.tokensFrom(query.sharedPieces())
+                : 0;
+        long tokens = Math.max(0, Math.max(copied, misplaced));
         return new Offer(
                 offer.host(),
                 offer.source(),
@@ -100,6 +109,6 @@
                 offer.waitMicros(),
                 offer.prefillMicros(),
                 offer.distanceMicros(),
-                costs.prefillMicros(copied * costs.duplicationShare()));
+                costs.prefillMicros(tokens * costs.duplicationShare()));
     }
 }
--- a/core/src/main/java/org/geraniumford/core/routing/HintCache.java
+++ b/core/src/main/java/org/geraniumford/core/routing/HintCache.java
@@ -9,10 +9,7 @@
 import org.geraniumford.core.prefix.Piece;
 import org.geraniumford.core.prefix.PieceKey;
 
-/**
- * A bounded memory of where prefixes were last served. The least recently used entry goes first. Not thread-safe; one
- * duty owns it.
- */
+/** A bounded memory of where prefixes were last served. The least recently used entry goes first. Thread-safe. */
 public final class HintCache {
     private static final float LOAD_FACTOR = 0.75f;
 
@@ -50,7 +47,7 @@
      * @param fleet the present engines
      * @return the hint, or empty if none is valid
      */
-    public Optional<Hint> longest(List<Piece> pieces, Fleet fleet) {
+    public synchronized Optional<Hint> longest(List<Piece> pieces, Fleet fleet) {
         return IntStream.iterate(pieces.size() - 1, index -> index >= 0, index -> index - 1)
                 .mapToObj(index -> hints.get(pieces.get(index).key()))
                 .filter(Objects::nonNull)
@@ -63,7 +60,7 @@
      *
      * @return 0 up to the capacity
      */
-    public int size() {
+    public synchronized int size() {
         return hints.size();
     }
 
@@ -76,7 +73,7 @@
      * @param host the host
      * @param incarnation the engine's incarnation
      */
-    public void served(RouteQuery query, String host, long incarnation) {
+    public synchronized void served(RouteQuery query, String host, long incarnation) {
         query.depths().forEach(depth -> hints.put(query.keyAt(depth), new Hint(host, incarnation, depth)));
     }
 
--- a/core/src/main/java/org/geraniumford/core/routing/Offer.java
+++ b/core/src/main/java/org/geraniumford/core/routing/Offer.java
@@ -13,7 +13,7 @@
  * @param waitMicros its estimated wait
  * @param prefillMicros the time to compute what it misses
  * @param distanceMicros the time for the way to it
- * @param duplicationMicros the penalty for computing again what another candidate holds
+ * @param duplicationMicros the penalty for computing what another candidate holds, or where nobody looks for it
  */
 public record Offer(
         String host,
--- a/core/src/main/java/org/geraniumford/core/routing/RouteQuery.java
+++ b/core/src/main/java/org/geraniumford/core/routing/RouteQuery.java
@@ -60,6 +60,15 @@
                 .toList();
     }
 
+    /**
+     * Returns the length of the longest prefix that other requests are likely to share.
+     *
+     * @return a number of pieces
+     */
+    public int sharedPieces() {
+        return depths().stream().findFirst().orElse(0);
+    }
+
     /**
      * Returns the key of a prefix.
      *
--- a/core/src/test/java/org/geraniumford/core/routing/RoutingPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/routing/RoutingPolicyTest.java
@@ -121,6 +121,19 @@
         assertThat(choice(hasty, answers)).isEqualTo("h01");
     }
 
+    @Test
+    void shouldComputeAColdPrefixWhereLaterRequestsLookForIt() {
+        RouteQuery query = query("club", "question", 1);
+        Backend home = new Backend("home", "another domain", "v1", "w1", 1, false, 50_000);
+        Backend idle = new Backend("idle", "d", "v1", "w1", 1, false, 0);
+        List<Candidate> candidates =
+                List.of(new Candidate(home, Candidate.Source.PREFIX), new Candidate(idle, Candidate.Source.SPARE));
+        assertThat(cheapest(new CostModel(50, 1_000, 0, 1, 50_001), query, candidates))
+                .isEqualTo("home");
+        assertThat(cheapest(new CostModel(50, 1_000, 0, 1, 50_000), query, candidates))
+                .isEqualTo("idle");
+    }
+
     @Test
     void shouldCountAPieceThatIsBeingComputedAsAlmostCached() {
         assertThat(choice(answer(0, 2, 0), answer(0, 0, 0))).isEqualTo("h00");
@@ -156,6 +169,13 @@
                 .host();
     }
 
+    private static String cheapest(CostModel costs, RouteQuery query, List<Candidate> candidates) {
+        return new Chooser(costs)
+                .offers(query, candidates, Map.of(), Set.of())
+                .get(0)
+                .host();
+    }
+
     private static Message.ProbeAnswer answer(int cached, int pending, long wait) {
         return new Message.ProbeAnswer(1, cached, pending, wait, 1, false);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ActionRunner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ActionRunner.java
@@ -6,7 +6,6 @@
 import org.geraniumford.core.request.RequestAction;
 import org.geraniumford.core.request.RequestEvent;
 import org.geraniumford.core.request.RequestSpec;
-import org.geraniumford.core.routing.HintCache;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.wire.Message;
@@ -18,12 +17,10 @@
 final class ActionRunner {
     private final ModelShard.ShardParts parts;
     private final ProbeTable probes;
-    private final HintCache hints;
 
-    ActionRunner(ModelShard.ShardParts parts, ProbeTable probes, HintCache hints) {
+    ActionRunner(ModelShard.ShardParts parts, ProbeTable probes) {
         this.parts = parts;
         this.probes = probes;
-        this.hints = hints;
     }
 
     // -- queries
@@ -109,10 +106,11 @@
         RequestSpec spec = request.state().spec();
         int cached = served.started().cachedPieces();
         request.cached(cached);
-        hints.served(
-                spec.query(Optional.empty(), Set.of()),
-                served.host(),
-                served.started().backendIncarnation());
+        parts.hints()
+                .served(
+                        spec.query(Optional.empty(), Set.of()),
+                        served.host(),
+                        served.started().backendIncarnation());
         int missed = Math.max(0, spec.chain().size() - cached);
         parts.metrics().pieces(spec.priorityClass().name(), cached, missed);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
+import org.geraniumford.core.routing.HintCache;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.operator.ProcessStatus;
@@ -36,6 +37,7 @@
 /** An entry: takes the callers' requests and routes them to sidecars. */
 public final class EntryDaemon implements AutoCloseable {
     private static final int NETWORK_THREADS = 2;
+    private static final int HINT_CAPACITY = 32_768;
     private static final long GROUP_STOP_SECONDS = 5;
 
     private final EntrySettings settings;
@@ -113,7 +115,7 @@
         CostModel costs = CostModel.ofPrefillRate(settings.prefillTokensPerSecond());
         RequestMachine machine = RequestMachine.of(settings.routingPolicy(), costs, RetryPolicy.standard(), limits);
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
-        return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
+        return new ModelShard.ShardParts(machine, specs, peers, HintCache.ofCapacity(HINT_CAPACITY), metrics, records);
     }
 
     private LinkIdentity identity() {
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
@@ -13,6 +13,7 @@
 import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.request.RequestLimits;
 import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.daemon.calls.ServiceCalls;
 import org.geraniumford.daemon.configuration.ConfigurationSync;
 import org.geraniumford.daemon.membership.HostDirectory;
 import org.geraniumford.daemon.settings.EntrySettings;
@@ -60,8 +61,10 @@
             HostDirectory directory = closer.add(HostDirectory.start(platform, incarnation));
             ConfigurationSync sync = closer.add(
                     ConfigurationSync.start(configurations, platform, network, settings.seeds(), incarnation));
-            return new EntryEnvironment(
-                    directory::hosts, sync::received, IdempotentCalls::new, RequestLimits.standard());
+            Function<CallGateway, ServiceCaller> calls = gateway -> new ServiceRouter(
+                    new IdempotentCalls(gateway),
+                    closer.add(ServiceCalls.start(platform, gateway, settings.processId(), incarnation)));
+            return new EntryEnvironment(directory::hosts, sync::received, calls, RequestLimits.standard());
         };
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
@@ -21,13 +21,11 @@
 
 /** Drives the state machines of a part of an entry's model requests. All state belongs to its duty's thread. */
 final class ModelShard implements DutyHandler<ShardEvent> {
-    private static final int HINT_CAPACITY = 16_384;
     private static final int TICKS_PER_WATCH = 10;
 
     private final ShardParts parts;
     private final Map<String, ActiveRequest> active = new HashMap<>();
     private final ProbeTable probes;
-    private final HintCache hints = HintCache.ofCapacity(HINT_CAPACITY);
     private final SplittableRandom random;
     private final ActionRunner runner;
     private long ticks;
@@ -39,17 +37,23 @@
      * @param machine the decisions
      * @param specs reads requests
      * @param peers the connected processes
+     * @param hints where prefixes were last served
      * @param metrics what is measured
      * @param records why requests went where they went
      */
     record ShardParts(
-            RequestMachine machine, SpecFactory specs, PeerTable peers, EntryMetrics metrics, ExplainRecords records) {}
+            RequestMachine machine,
+            SpecFactory specs,
+            PeerTable peers,
+            HintCache hints,
+            EntryMetrics metrics,
+            ExplainRecords records) {}
 
     private ModelShard(ShardParts parts, int index, int shards, long seed) {
         this.parts = parts;
         this.probes = ProbeTable.of(index, shards);
         this.random = new SplittableRandom(seed);
-        this.runner = new ActionRunner(parts, probes, hints);
+        this.runner = new ActionRunner(parts, probes);
     }
 
     // -- construction
@@ -166,7 +170,7 @@
 
     private RequestContext context(RequestSpec spec) {
         Fleet fleet = parts.peers().fleet();
-        return context(fleet, hints.longest(spec.chain().pieces(), fleet));
+        return context(fleet, parts.hints().longest(spec.chain().pieces(), fleet));
     }
 
     /** A running attempt has its host already, so the hint is not looked up for each of its frames. */
