--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -21,7 +21,6 @@
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
-import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.operator.ProcessStatus;
@@ -110,7 +109,7 @@
 
     private ModelShard.ShardParts shardParts() {
         RequestMachine machine = RequestMachine.of(
-                RoutingPolicy.PROBE, CostModel.standard(), RetryPolicy.standard(), RequestLimits.standard());
+                settings.routingPolicy(), CostModel.standard(), RetryPolicy.standard(), RequestLimits.standard());
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
         return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/EntrySettings.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
+import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.transport.http.HttpLimits;
 
 /**
@@ -20,6 +21,7 @@
  * @param callerLimits what is accepted from callers
  * @param security how links are authenticated and encrypted
  * @param drainTimeout how long a stop waits for running requests
+ * @param routingPolicy how the backend server of a request is chosen
  */
 public record EntrySettings(
         String processId,
@@ -32,14 +34,15 @@
         int pieceTokens,
         HttpLimits callerLimits,
         LinkSecurity security,
-        Duration drainTimeout) {
+        Duration drainTimeout,
+        RoutingPolicy routingPolicy) {
     /** Copies the list. */
     public EntrySettings {
         seeds = List.copyOf(seeds);
     }
 
     /**
-     * Creates settings with the standard limits, plain links and the standard drain timeout.
+     * Creates settings with the standard limits, plain links, the standard drain timeout and routing by probes.
      *
      * @param processId the process's unique name
      * @param failureDomain the failure domain of its host
@@ -70,6 +73,7 @@
                 pieceTokens,
                 HttpLimits.standard(),
                 LinkSecurity.none(),
-                SidecarSettings.STANDARD_DRAIN_TIMEOUT);
+                SidecarSettings.STANDARD_DRAIN_TIMEOUT,
+                RoutingPolicy.PROBE);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import org.geraniumford.core.ini.IniDocument;
 import org.geraniumford.core.ini.IniProblem;
+import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.transport.http.HttpLimits;
 
 /** Loads the daemons' settings files. */
@@ -42,6 +43,12 @@
             SettingType.integer("connections", 1, 1_000_000),
             "10000",
             "The largest number of callers' open connections; further ones are closed at once.");
+    private static final Setting<RoutingPolicy> ROUTING_POLICY = optional(
+            "routing",
+            "policy",
+            SettingType.choice(RoutingPolicy.class),
+            "probe",
+            "How the runner of a request is chosen. The others than probe are for comparisons.");
     private static final Setting<URI> BACKEND = required(
             "backend", "address", SettingType.uri(), "The base address of the backend server on the same host.");
     private static final Setting<String> SERVICE = optional(
@@ -54,7 +61,7 @@
     /** The settings of an entry. */
     public static final SettingsSchema<EntrySettings> ENTRY = SettingsSchema.of(
             "entry",
-            List.of(CALLER, PIECE_TOKENS, MAX_BODY, MAX_HEADER, MAX_CONNECTIONS),
+            List.of(CALLER, PIECE_TOKENS, MAX_BODY, MAX_HEADER, MAX_CONNECTIONS, ROUTING_POLICY),
             SettingsLoader::entrySettings);
 
     /** The settings of a sidecar. */
@@ -133,7 +140,8 @@
                 values.value(PIECE_TOKENS),
                 new HttpLimits(values.value(MAX_BODY), values.value(MAX_HEADER), values.value(MAX_CONNECTIONS)),
                 SharedSettings.security(values, folder),
-                values.value(SharedSettings.DRAIN_TIMEOUT));
+                values.value(SharedSettings.DRAIN_TIMEOUT),
+                values.value(ROUTING_POLICY));
     }
 
     private static SidecarSettings sidecarSettings(SettingValues values, Path folder) {
--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/measure/Comparison.java
@@ -0,0 +1,142 @@
+package org.geraniumford.trials.measure;
+
+import java.util.Arrays;
+import java.util.DoubleSummaryStatistics;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.geraniumford.daemon.load.LoadReport;
+import org.geraniumford.daemon.load.SvgChart;
+
+/** The runs of one scenario, by policy. */
+final class Comparison {
+    private static final List<Measure> CHARTED = List.of(Measure.HIT_RATE, Measure.WASTED, Measure.P95);
+
+    private final String scenario;
+    private final Map<String, List<MeasuredRun>> byLabel;
+
+    private Comparison(String scenario, Map<String, List<MeasuredRun>> byLabel) {
+        this.scenario = scenario;
+        this.byLabel = byLabel;
+    }
+
+    static Comparison of(String scenario, List<MeasuredRun> runs) {
+        return new Comparison(
+                scenario,
+                runs.stream()
+                        .collect(Collectors.groupingBy(
+                                run -> run.result().label(), LinkedHashMap::new, Collectors.toList())));
+    }
+
+    // -- queries
+
+    /** Returns a table of means with the least and the largest value, and one of ratios to the first policy. */
+    String markdown() {
+        List<String> head = Stream.concat(
+                        Stream.of("policy", "runs"),
+                        Arrays.stream(Measure.values()).map(Measure::title))
+                .toList();
+        List<List<String>> rows = byLabel.entrySet().stream()
+                .map(entry -> row(entry.getKey(), entry.getValue()))
+                .toList();
+        return "### " + scenario + "\n\n" + LoadReport.markdown(head, rows) + "\n\n" + ratios();
+    }
+
+    private static List<String> row(String label, List<MeasuredRun> runs) {
+        return Stream.concat(
+                        Stream.of(label, String.valueOf(runs.size())),
+                        Arrays.stream(Measure.values()).map(measure -> measure.cell(runs)))
+                .toList();
+    }
+
+    private String ratios() {
+        List<MeasuredRun> first = byLabel.values().iterator().next();
+        List<String> head = Stream.concat(
+                        Stream.of("ratio to " + byLabel.keySet().iterator().next()),
+                        CHARTED.stream().map(Measure::title))
+                .toList();
+        List<List<String>> rows = byLabel.entrySet().stream()
+                .map(entry -> Stream.concat(
+                                Stream.of(entry.getKey()),
+                                CHARTED.stream().map(measure -> ratio(measure, entry.getValue(), first)))
+                        .toList())
+                .toList();
+        return LoadReport.markdown(head, rows);
+    }
+
+    private static String ratio(Measure measure, List<MeasuredRun> runs, List<MeasuredRun> base) {
+        double of = measure.statistics(base).getAverage();
+        return of == 0 ? "-" : "%.2f".formatted(measure.statistics(runs).getAverage() / of);
+    }
+
+    String svg() {
+        return SvgChart.of(CHARTED.stream()
+                .map(measure -> new SvgChart.Panel(
+                        scenario + ": " + measure.title(),
+                        byLabel.entrySet().stream()
+                                .map(entry -> new SvgChart.Bar(
+                                        entry.getKey(),
+                                        measure.statistics(entry.getValue()).getAverage()))
+                                .toList()))
+                .toList());
+    }
+
+    /** What is compared. */
+    enum Measure {
+        HIT_RATE("hit rate"),
+        BOUND("bound of hit rate"),
+        OF_BOUND("hit rate / bound"),
+        WASTED("wasted share"),
+        P50("first token p50 ms"),
+        P95("first token p95 ms"),
+        P99("first token p99 ms"),
+        GOOD("in time"),
+        REFUSED("refused or broken"),
+        JAIN("Jain's index"),
+        WORST("worst customer's p99 ms");
+
+        private final String title;
+
+        Measure(String title) {
+            this.title = title;
+        }
+
+        String title() {
+            return title;
+        }
+
+        double of(MeasuredRun run) {
+            return switch (this) {
+                case HIT_RATE -> run.result().hitRate();
+                case BOUND -> run.result().bound().hitRate();
+                case OF_BOUND -> run.result().hitRateOfBound();
+                case WASTED -> run.wasted();
+                case P50 -> run.result().firstToken().p50Millis();
+                case P95 -> run.result().firstToken().p95Millis();
+                case P99 -> run.result().firstToken().p99Millis();
+                case GOOD -> run.goodShare();
+                case REFUSED -> run.result().requests() - run.result().completed();
+                case JAIN -> run.result().jainIndex();
+                case WORST -> run.result().worstP99Millis();
+            };
+        }
+
+        DoubleSummaryStatistics statistics(List<MeasuredRun> runs) {
+            ToDoubleFunction<MeasuredRun> value = this::of;
+            return runs.stream().mapToDouble(value).summaryStatistics();
+        }
+
+        String cell(List<MeasuredRun> runs) {
+            DoubleSummaryStatistics statistics = statistics(runs);
+            return "%s (%s to %s)"
+                    .formatted(text(statistics.getAverage()), text(statistics.getMin()), text(statistics.getMax()));
+        }
+
+        private static String text(double value) {
+            return value > 1 ? LoadReport.millis(value) : LoadReport.fraction(value);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/measure/EngineControl.java
@@ -0,0 +1,44 @@
+package org.geraniumford.trials.measure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
+/**
+ * Reads an engine stand-in's counters and sets its faults.
+ *
+ * @param address its host and port
+ */
+record EngineControl(String address) {
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    FleetCounters counters() throws IOException {
+        JsonNode counters = JSON.readTree(send("GET", "/state", "")).path("counters");
+        return new FleetCounters(
+                counters.path("hit_pieces").asLong(),
+                counters.path("computed_pieces").asLong(),
+                counters.path("recomputed_pieces").asLong(),
+                counters.path("leaks").asLong());
+    }
+
+    void faults(String json) throws IOException {
+        send("POST", "/faults", json);
+    }
+
+    private String send(String method, String path, String body) throws IOException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            return CLIENT.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/measure/MeasuredRun.java
@@ -0,0 +1,29 @@
+package org.geraniumford.trials.measure;
+
+import org.geraniumford.daemon.load.LoadResult;
+
+/**
+ * What one run gave.
+ *
+ * @param result what the callers saw
+ * @param fleet what the engines did
+ */
+public record MeasuredRun(LoadResult result, FleetCounters fleet) {
+    /**
+     * Returns the part of the computed pieces that the best routing would not have computed.
+     *
+     * @return a fraction of 1
+     */
+    public double wasted() {
+        return fleet.wasted(result.bound().computedPieces());
+    }
+
+    /**
+     * Returns the part of the requests whose first token came in time and whose answer is whole.
+     *
+     * @return a fraction of 1
+     */
+    public double goodShare() {
+        return result.requests() == 0 ? 0 : (double) result.good() / result.requests();
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/measure/Measurement.java
@@ -0,0 +1,160 @@
+package org.geraniumford.trials.measure;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.geraniumford.core.close.Closer;
+import org.geraniumford.core.routing.RoutingPolicy;
+import org.geraniumford.daemon.load.Arrival;
+import org.geraniumford.daemon.load.LoadConfiguration;
+import org.geraniumford.daemon.load.LoadResult;
+import org.geraniumford.daemon.load.LoadRun;
+import org.geraniumford.daemon.load.LoadTarget;
+import org.geraniumford.daemon.load.Outcome;
+import org.geraniumford.daemon.load.Scenario;
+import org.geraniumford.daemon.load.Trace;
+import org.geraniumford.trials.deployment.Deployment;
+import org.geraniumford.trials.deployment.DeploymentPlan;
+import org.geraniumford.trials.deployment.RunnerPlan;
+
+/** One run: a scenario, a policy and a seed on a fresh deployment. */
+final class Measurement {
+    private static final int WARM_UP_SECONDS = 20;
+    private static final long WARM_UP_SEED = -1;
+
+    private final Scenario scenario;
+    private final RoutingPolicy policy;
+    private final Consumer<String> progress;
+
+    private Measurement(Scenario scenario, RoutingPolicy policy, Consumer<String> progress) {
+        this.scenario = scenario;
+        this.policy = policy;
+        this.progress = progress;
+    }
+
+    // -- commands
+
+    static MeasuredRun run(Scenario scenario, RoutingPolicy policy, long seed, Path folder, Consumer<String> progress)
+            throws IOException, InterruptedException {
+        return new Measurement(scenario, policy, progress).run(seed, folder);
+    }
+
+    private MeasuredRun run(long seed, Path folder) throws IOException, InterruptedException {
+        Path configuration = Files.createDirectories(folder.resolve("configuration"));
+        Files.writeString(configuration.resolve("00-load.ini"), LoadConfiguration.text(scenario));
+        try (Deployment deployment = Deployment.start(plan(configuration), folder)) {
+            LoadTarget target = target(deployment);
+            Scenario warmUp = warmUp();
+            LoadRun.run(warmUp, target, Trace.of(warmUp, WARM_UP_SEED), line -> {});
+            FleetCounters before = counters(deployment);
+            List<Arrival> trace = Trace.of(scenario, seed);
+            List<Outcome> outcomes = measure(deployment, target, trace);
+            LoadResult result = LoadResult.of(scenario, label(policy), seed, trace, outcomes);
+            return new MeasuredRun(result, counters(deployment).minus(before));
+        }
+    }
+
+    private List<Outcome> measure(Deployment deployment, LoadTarget target, List<Arrival> trace)
+            throws InterruptedException {
+        try (Closer closer = Closer.empty()) {
+            closer.add(FaultSchedule.start(scenario, deployment));
+            return LoadRun.run(scenario, target, trace, progress);
+        }
+    }
+
+    // -- the deployment
+
+    private DeploymentPlan plan(Path configuration) {
+        Scenario.Fleet fleet = scenario.fleet();
+        List<String> domains = IntStream.range(0, fleet.failureDomains())
+                .mapToObj(i -> "domain-" + i)
+                .toList();
+        List<RunnerPlan> runners = IntStream.range(0, fleet.runners())
+                .mapToObj(i -> new RunnerPlan(
+                        runnerName(i),
+                        domains.get(i % domains.size()),
+                        LoadConfiguration.MODEL_VERSION,
+                        LoadConfiguration.weightsDigest(),
+                        engineOptions()))
+                .toList();
+        List<String> entrySettings = List.of(
+                "[engine]",
+                "piece_tokens = " + scenario.prompts().pieceTokens(),
+                "[routing]",
+                "policy = " + label(policy));
+        return new DeploymentPlan(
+                configuration, runners, List.of(), fleet.entries(), domains, entrySettings, List.of());
+    }
+
+    private List<String> engineOptions() {
+        Scenario.Fleet fleet = scenario.fleet();
+        return List.of(
+                "--capacity-pieces",
+                String.valueOf(fleet.capacityPieces()),
+                "--slots",
+                String.valueOf(fleet.slots()),
+                "--prefill-micros",
+                String.valueOf(fleet.prefillMicros()),
+                "--decode-micros",
+                String.valueOf(fleet.decodeMicros()),
+                "--time-scale",
+                String.valueOf(scenario.traffic().timeScale()));
+    }
+
+    /** Short prompts that share no prefix with the measured ones. */
+    private Scenario warmUp() {
+        Scenario.Traffic traffic = scenario.traffic();
+        Scenario.Prompts prompts = scenario.prompts();
+        return new Scenario(
+                "warm-up",
+                new Scenario.Traffic(
+                        WARM_UP_SECONDS,
+                        traffic.rate(),
+                        traffic.timeScale(),
+                        traffic.customers(),
+                        traffic.customerSkew(),
+                        traffic.model(),
+                        traffic.maxTokens(),
+                        traffic.deadlineMillis()),
+                new Scenario.Prompts(prompts.pieceTokens(), 0, 0, 0, prompts.questionTokens(), 1, 1, 0),
+                new Scenario.Hot(0, 1, 0),
+                new Scenario.Flood(-1, 1, 0, 0),
+                scenario.fleet(),
+                List.of());
+    }
+
+    private LoadTarget target(Deployment deployment) {
+        return new LoadTarget(IntStream.range(0, scenario.fleet().entries())
+                .mapToObj(i -> URI.create("http://" + deployment.entry(i).address("caller")))
+                .toList());
+    }
+
+    private FleetCounters counters(Deployment deployment) throws IOException {
+        FleetCounters sum = FleetCounters.ZERO;
+        for (int i = 0; i < scenario.fleet().runners(); i++) {
+            if (deployment.engine(runnerName(i)).alive()) {
+                sum = sum.plus(engine(deployment, i).counters());
+            }
+        }
+        return sum;
+    }
+
+    // -- names
+
+    static EngineControl engine(Deployment deployment, int number) {
+        return new EngineControl(deployment.engine(runnerName(number)).address("address"));
+    }
+
+    static String runnerName(int number) {
+        return "runner-" + number;
+    }
+
+    static String label(RoutingPolicy policy) {
+        return policy.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Compares routing policies on the same seeded arrivals, on real processes. */
+package org.geraniumford.trials.measure;
