--- /dev/null
+++ b/trials/src/main/java/org/geraniumford/trials/measure/EntryControl.java
@@ -0,0 +1,47 @@
+package org.geraniumford.trials.measure;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * Reads an entry's retry counters.
+ *
+ * @param operatorAddress the host and port of its operator port
+ */
+record EntryControl(String operatorAddress) {
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+    private static final Pattern RETRIES =
+            Pattern.compile("^geraniumford_retries_total\\{reason=\"([a-z_]+)\"\\} ([0-9.E]+)$", Pattern.MULTILINE);
+
+    /** Returns the retries by reason, without the reasons that have none. */
+    Map<String, Long> retries() throws IOException {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + operatorAddress + "/metrics"))
+                .build();
+        try {
+            return parse(CLIENT.send(request, HttpResponse.BodyHandlers.ofString()).body());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    static Map<String, Long> parse(String metrics) {
+        Map<String, Long> all = RETRIES.matcher(metrics)
+                .results()
+                .collect(Collectors.toMap(row -> row.group(1), EntryControl::count, Long::sum, TreeMap::new));
+        all.values().removeIf(count -> count == 0);
+        return all;
+    }
+
+    private static long count(MatchResult row) {
+        return Math.round(Double.parseDouble(row.group(2)));
+    }
+}
--- a/trials/src/main/java/org/geraniumford/trials/measure/MeasuredRun.java
+++ b/trials/src/main/java/org/geraniumford/trials/measure/MeasuredRun.java
@@ -1,5 +1,6 @@
 package org.geraniumford.trials.measure;
 
+import java.util.Map;
 import org.geraniumford.daemon.load.LoadResult;
 
 /**
@@ -7,8 +8,14 @@
  *
  * @param result what the callers saw
  * @param fleet what the engines did
+ * @param retries the router's retries by reason, those of the warm-up included
  */
-public record MeasuredRun(LoadResult result, FleetCounters fleet) {
+public record MeasuredRun(LoadResult result, FleetCounters fleet, Map<String, Long> retries) {
+    /** Copies the map. */
+    public MeasuredRun {
+        retries = Map.copyOf(retries);
+    }
+
     /**
      * Returns the part of the computed pieces that the best routing would not have computed.
      *
--- a/trials/src/main/java/org/geraniumford/trials/measure/Measurement.java
+++ b/trials/src/main/java/org/geraniumford/trials/measure/Measurement.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.geraniumford.core.close.Closer;
@@ -55,7 +57,7 @@
             List<Arrival> trace = Trace.of(scenario, seed);
             List<Outcome> outcomes = measure(deployment, target, trace);
             LoadResult result = LoadResult.of(scenario, label(policy), seed, trace, outcomes);
-            return new MeasuredRun(result, counters(deployment).minus(before));
+            return new MeasuredRun(result, counters(deployment).minus(before), retries(deployment));
         }
     }
 
@@ -144,6 +146,15 @@
         return sum;
     }
 
+    private Map<String, Long> retries(Deployment deployment) throws IOException {
+        Map<String, Long> sum = new TreeMap<>();
+        for (int i = 0; i < scenario.fleet().entries(); i++) {
+            EntryControl entry = new EntryControl(deployment.entry(i).address("operator"));
+            entry.retries().forEach((reason, count) -> sum.merge(reason, count, Long::sum));
+        }
+        return sum;
+    }
+
     // -- names
 
     static EngineControl engine(Deployment deployment, int number) {
