--- a/trials/src/main/java/org/geraniumford/trials/measure/EntryControl.java
+++ b/trials/src/main/java/org/geraniumford/trials/measure/EntryControl.java
@@ -26,7 +26,8 @@
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + operatorAddress + "/metrics"))
                 .build();
         try {
-            return parse(CLIENT.send(request, HttpResponse.BodyHandlers.ofString()).body());
+            return parse(
+                    CLIENT.send(request, HttpResponse.BodyHandlers.ofString()).body());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
--- a/trials/src/main/java/org/geraniumford/trials/measure/Measure.java
+++ b/trials/src/main/java/org/geraniumford/trials/measure/Measure.java
@@ -101,7 +101,8 @@
         try {
             MeasuredRun run = Measurement.run(scenario, policy, seed, folder, line -> out.println(line + " " + name));
             out.println(LoadReport.table(run.result()));
-            out.println("wasted=" + LoadReport.fraction(run.wasted()) + " " + run.fleet() + " retries=" + run.retries());
+            out.println(
+                    "wasted=" + LoadReport.fraction(run.wasted()) + " " + run.fleet() + " retries=" + run.retries());
             return run;
         } finally {
             delete(folder);
