--- a/daemon/src/main/java/org/geraniumford/daemon/calls/LedgerHandler.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/calls/LedgerHandler.java
@@ -74,11 +74,14 @@
         List<String> hosts = gateway.candidates(request.service().name());
         if (hosts.isEmpty()) {
             begin.ended().run();
-            Refusal refusal = Refusal.notRun(Reason.NO_BACKEND, "no live host serves " + request.service().name());
+            Refusal refusal = Refusal.notRun(
+                    Reason.NO_BACKEND,
+                    "no live host serves " + request.service().name());
             begin.completion().completeExceptionally(refusal.toException());
             return;
         }
-        String row = Claim.row(request.customer().name(), request.idempotencyKey().orElseThrow());
+        String row =
+                Claim.row(request.customer().name(), request.idempotencyKey().orElseThrow());
         ClaimMachine.Request call =
                 new ClaimMachine.Request(row, digest(request), tokenPrefix + "/" + begin.id(), hosts);
         advance(begin, ClaimMachine.start(call, nowMicros()));
@@ -154,8 +157,8 @@
                 request.body(),
                 TimeUnit.NANOSECONDS.toMicros(request.service().timeout().toNanos()));
         gateway.call(send.host(), call)
-                .whenComplete((result, failure) ->
-                        offer(new LedgerInput.Happened(begin.id(), outcome(result, failure))));
+                .whenComplete(
+                        (result, failure) -> offer(new LedgerInput.Happened(begin.id(), outcome(result, failure))));
     }
 
     private static ClaimEvent outcome(Message.CallResult result, Throwable failure) {
@@ -167,14 +170,12 @@
     private void closeToken(long id, ClaimAction.CloseToken close) {
         gateway.closeToken(close.host(), close.token(), close.issuedMicros())
                 .whenComplete((state, failure) -> offer(new LedgerInput.Happened(
-                        id,
-                        failure == null ? new ClaimEvent.TokenAnswered(state) : new ClaimEvent.TokenUnanswered())));
+                        id, failure == null ? new ClaimEvent.TokenAnswered(state) : new ClaimEvent.TokenUnanswered())));
     }
 
     private static void answer(LedgerInput.Begin begin, CallAnswer answer) {
         AttemptId id = new AttemptId(begin.request().requestId(), 1);
-        begin.completion()
-                .complete(new Message.CallResult(id, answer.status(), answer.contentType(), answer.body()));
+        begin.completion().complete(new Message.CallResult(id, answer.status(), answer.contentType(), answer.body()));
     }
 
     private static void refuse(LedgerInput.Begin begin, Refusal refusal) {
--- a/daemon/src/test/java/org/geraniumford/daemon/calls/ServiceCallsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/calls/ServiceCallsTest.java
@@ -55,7 +55,8 @@
         List<CompletableFuture<Message.CallResult>> answers = IntStream.range(0, 200)
                 .mapToObj(i -> (i % 2 == 0 ? first : second).call(request("key-" + i / 4, "body")))
                 .toList();
-        answers.forEach(one -> one.handle((result, failure) -> 0).orTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
+        answers.forEach(one -> one.handle((result, failure) -> 0)
+                .orTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
                 .join());
         assertThat(service.runs.get()).isLessThanOrEqualTo(50);
         IntStream.range(0, 50).forEach(i -> eventually(() -> first.call(request("key-" + i, "body"))));
@@ -101,12 +102,12 @@
     }
 
     /** Repeats a call while its outcome is still being recorded. */
-    private static Message.CallResult eventually(
-            Supplier<CompletableFuture<Message.CallResult>> call) {
+    private static Message.CallResult eventually(Supplier<CompletableFuture<Message.CallResult>> call) {
         return call.get()
                 .orTimeout(WAIT_SECONDS, TimeUnit.SECONDS)
                 .exceptionallyCompose(failure -> {
-                    Reason reason = RefusalException.refusalOf(failure, Verdict.RAN).reason();
+                    Reason reason =
+                            RefusalException.refusalOf(failure, Verdict.RAN).reason();
                     return reason == Reason.CALL_IN_PROGRESS
                             ? CompletableFuture.supplyAsync(() -> eventually(call))
                             : CompletableFuture.failedFuture(failure);
--- a/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.geraniumford.core.ini.IniProblem;
+import org.geraniumford.core.routing.RoutingPolicy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -60,6 +61,7 @@
         assertThat(settings.pieceTokens()).isEqualTo(4000);
         assertThat(settings.drainTimeout()).isEqualTo(Duration.ofMinutes(5));
         assertThat(settings.security()).isEqualTo(LinkSecurity.none());
+        assertThat(settings.routingPolicy()).isEqualTo(RoutingPolicy.PROBE);
     }
 
     @Test
@@ -76,11 +78,12 @@
                         "entry.ini: [platform] address: not set; allowed: http://HOST:PORT or https://HOST:PORT",
                         "entry.ini:9: [platform] addres: unknown key; allowed keys: address",
                         "entry.ini:11: [pears] seeds: unknown section; allowed sections: process, listen, engine,"
-                                + " limits, platform, peers, tls, shutdown");
+                                + " limits, routing, platform, peers, tls, shutdown");
     }
 
     @ParameterizedTest
     @CsvSource({
+        "routing, policy, fastest",
         "listen, caller, localhost:80",
         "listen, caller, 127.0.0.1:65536",
         "listen, caller, 256.0.0.1:80",
