--- a/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
@@ -84,6 +84,7 @@
 
     @ParameterizedTest
     @CsvSource({
+        "routing, policy, fastest",
         "listen, caller, localhost:80",
         "listen, caller, 127.0.0.1:65536",
         "listen, caller, 256.0.0.1:80",
