--- a/core/src/main/java/org/geraniumford/core/cache/CacheIndex.java
+++ b/core/src/main/java/org/geraniumford/core/cache/CacheIndex.java
@@ -19,7 +19,8 @@
     private final Map<Long, Claim> claims = new LinkedHashMap<>();
     private long incarnation;
     private long sequence;
-    private int keysPerEvent = 1;
+    private long events;
+    private long evictions;
     private boolean incomplete = true;
     private CacheCounts counts = CacheCounts.ZERO;
 
@@ -78,7 +79,8 @@
             voidAfterGap(event.sequence() - sequence - 1);
         }
         sequence = event.sequence();
-        keysPerEvent = Math.max(keysPerEvent, event.keys().size());
+        events++;
+        evictions += event.kind() == CacheEvent.Kind.EVICTED ? event.keys().size() : 0;
         event.keys().forEach(key -> change(event.kind(), key));
     }
 
@@ -138,7 +140,7 @@
     }
 
     private void voidAfterGap(long lostEvents) {
-        int voided = policy.voided(lostEvents, keysPerEvent, claims.size());
+        int voided = policy.voided(lostEvents, evictionsPerEvent(), claims.size());
         Iterator<Claim> oldest = claims.values().iterator();
         for (int i = 0; i < voided; i++) {
             oldest.next();
@@ -148,6 +150,10 @@
         counts = counts.plusGap(lostEvents, voided);
     }
 
+    private double evictionsPerEvent() {
+        return events == 0 ? 0 : (double) evictions / events;
+    }
+
     // -- queries
 
     @Override
--- a/core/src/main/java/org/geraniumford/core/cache/GapPolicy.java
+++ b/core/src/main/java/org/geraniumford/core/cache/GapPolicy.java
@@ -5,25 +5,25 @@
     /** Voids every claim. */
     DROP_ALL {
         @Override
-        int voided(long lostEvents, int keysPerEvent, int claims) {
+        int voided(long lostEvents, double evictionsPerEvent, int claims) {
             return claims;
         }
     },
     /** Voids nothing, so that claims of pieces whose eviction was lost stay. */
     IGNORE {
         @Override
-        int voided(long lostEvents, int keysPerEvent, int claims) {
+        int voided(long lostEvents, double evictionsPerEvent, int claims) {
             return 0;
         }
     },
     /**
-     * Voids the claims that the lost events could have changed: engines evict the least recently used pieces, and no
-     * event names more pieces than the largest one seen.
+     * Voids the claims that the lost events are likely to have changed: engines evict the least recently used pieces,
+     * and lost events evict as many on average as those seen.
      */
     VOID_AFFECTED {
         @Override
-        int voided(long lostEvents, int keysPerEvent, int claims) {
-            return (int) Math.min(claims, lostEvents * keysPerEvent);
+        int voided(long lostEvents, double evictionsPerEvent, int claims) {
+            return (int) Math.min(claims, Math.ceil(lostEvents * evictionsPerEvent));
         }
     };
 
@@ -31,9 +31,9 @@
      * Returns how many of the least recently used claims are void after a gap.
      *
      * @param lostEvents the number of missing events, at least 1
-     * @param keysPerEvent the largest number of keys seen in one event, at least 1
+     * @param evictionsPerEvent the mean number of evicted keys in the events seen, 0 or more
      * @param claims the number of claims held
      * @return 0 up to {@code claims}
      */
-    abstract int voided(long lostEvents, int keysPerEvent, int claims);
+    abstract int voided(long lostEvents, double evictionsPerEvent, int claims);
 }
