The command line starts the daemons; the entry has its operator port

Cause: the commands entry and sidecar only checked settings.

Ruled out: System.exit in the shutdown hook, which blocks; the hook halts with the status once the daemon is closed.

--- a/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
@@ -1,7 +1,6 @@
 package org.geraniumford.daemon.command;
 
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.daemon.settings.SettingsLoader;
 import org.geraniumford.daemon.settings.SidecarSettings;
@@ -16,19 +15,15 @@
                         SettingsLoader.ENTRY,
                         "Serves callers on an entry host.",
                         EntrySettings::drainTimeout,
-                        settings -> missing()),
+                        Daemons::entry),
                 new DaemonCommand<>(
                         SettingsLoader.SIDECAR,
                         "Stands in front of one backend server on its host.",
                         SidecarSettings::drainTimeout,
-                        settings -> missing()),
+                        Daemons::sidecar),
                 new StatusCommand(),
                 new ExplainCommand(),
                 new DrainCommand(),
                 new SettingsCommand());
     }
-
-    private static CompletableFuture<RunningDaemon> missing() {
-        return CompletableFuture.failedFuture(new IllegalStateException("not part of this build"));
-    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/command/DaemonCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/DaemonCommand.java
@@ -79,7 +79,7 @@
             return ExitCode.OK;
         }
         RunningDaemon daemon = start(settings);
-        Thread hook = new Thread(() -> stop(daemon, drainTimeout.apply(settings)), "shutdown");
+        Thread hook = new Thread(() -> stopAndExit(daemon, drainTimeout.apply(settings)), "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
         console.out().println("ready " + daemon.addresses());
         console.out().flush();
@@ -108,10 +108,17 @@
         }
     }
 
-    private static void stop(RunningDaemon daemon, Duration timeout) {
+    /** Ends the process with status 0, in place of the status that stands for a signal. */
+    private static void stopAndExit(RunningDaemon daemon, Duration timeout) {
+        int status = stop(daemon, timeout) ? ExitCode.OK.status() : ExitCode.FAILED.status();
+        Runtime.getRuntime().halt(status);
+    }
+
+    private static boolean stop(RunningDaemon daemon, Duration timeout) {
         try {
             daemon.drain().get(timeout.toMillis(), TimeUnit.MILLISECONDS);
             LogEvent.of("drained").info();
+            return true;
         } catch (TimeoutException e) {
             LogEvent.of("drain_timeout").with("after_ms", timeout.toMillis()).warn();
         } catch (ExecutionException e) {
@@ -120,6 +127,7 @@
             Thread.currentThread().interrupt();
         }
         daemon.close();
+        return false;
     }
 
     private static Throwable rootOf(Throwable failure) {
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/Peer.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/Peer.java
@@ -1,9 +1,11 @@
 package org.geraniumford.daemon.entry;
 
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Optional;
 import org.geraniumford.core.routing.Backend;
 import org.geraniumford.core.wire.Message;
+import org.geraniumford.daemon.operator.HostStatus;
 import org.geraniumford.transport.link.Link;
 
 /**
@@ -43,6 +45,23 @@
         return state.map(Message.SidecarState::estimatedWaitMicros).orElse(0L);
     }
 
+    /** Describes the peer for operators. */
+    HostStatus status() {
+        boolean leaving = state.filter(Message.SidecarState::leaving).isPresent();
+        long backend = state.map(Message.SidecarState::backendIncarnation).orElse(0L);
+        return new HostStatus(
+                host(),
+                hello.role().name().toLowerCase(Locale.ROOT),
+                address.getAddress().getHostAddress() + ":" + address.getPort(),
+                hello.failureDomain(),
+                link.open() && !suspect,
+                leaving,
+                incarnation,
+                backend,
+                0,
+                waitMicros());
+    }
+
     /** Describes the model engine behind the peer; empty for other processes. */
     Optional<Backend> backend(boolean listedAsLeaving) {
         return state.filter(known -> known.service().isEmpty())
