--- a/daemon/src/main/java/org/geraniumford/daemon/command/DaemonCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/DaemonCommand.java
@@ -108,17 +108,18 @@
         }
     }
 
-    /** Ends the process with status 0, in place of the status that stands for a signal. */
+    /** Stops on a signal. Halts, since the JVM would otherwise report the signal in its exit code. */
     private static void stopAndExit(RunningDaemon daemon, Duration timeout) {
-        int status = stop(daemon, timeout) ? ExitCode.OK.status() : ExitCode.FAILED.status();
-        Runtime.getRuntime().halt(status);
+        ExitCode code = stop(daemon, timeout);
+        daemon.close();
+        Runtime.getRuntime().halt(code.status());
     }
 
-    private static boolean stop(RunningDaemon daemon, Duration timeout) {
+    private static ExitCode stop(RunningDaemon daemon, Duration timeout) {
         try {
             daemon.drain().get(timeout.toMillis(), TimeUnit.MILLISECONDS);
             LogEvent.of("drained").info();
-            return true;
+            return ExitCode.OK;
         } catch (TimeoutException e) {
             LogEvent.of("drain_timeout").with("after_ms", timeout.toMillis()).warn();
         } catch (ExecutionException e) {
@@ -126,8 +127,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        daemon.close();
-        return false;
+        return ExitCode.FAILED;
     }
 
     private static Throwable rootOf(Throwable failure) {
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -12,6 +11,7 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -23,10 +23,8 @@
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
-import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
-import org.geraniumford.daemon.operator.OperatorServer;
 import org.geraniumford.daemon.operator.ProcessStatus;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.transport.http.HttpServer;
@@ -54,7 +52,6 @@
     private final long incarnation = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
     private HttpServer callers;
     private LinkListener links;
-    private OperatorServer operators;
 
     private EntryDaemon(
             EntrySettings settings, ConfigurationHolder configurations, EntryEnvironment.Factory environments) {
@@ -92,7 +89,7 @@
                 .await(GROUP_STOP_SECONDS, TimeUnit.SECONDS));
         LinkNetwork network = LinkNetwork.of(group, identity());
         EntryEnvironment environment = environments.open(configurations, network, incarnation, closer);
-        ModelShards shards = closer.add(ModelShards.start(shardParts(), incarnation));
+        ModelShards shards = closer.add(ModelShards.start(shardParts(environment.limits()), incarnation));
         SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
         EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, gateway));
         EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
@@ -109,15 +106,12 @@
                 .thenCompose(
                         done -> HttpServer.start(group, settings.callerAddress(), settings.callerLimits(), service))
                 .thenAccept(server -> callers = closer.add(server))
-                .thenCompose(done ->
-                        OperatorServer.start(group, settings.operatorAddress(), registry, new EntryOperator(this)))
-                .thenAccept(server -> operators = closer.add(server))
                 .thenRun(this::logStart);
     }
 
-    private ModelShard.ShardParts shardParts() {
-        RequestMachine machine = RequestMachine.of(
-                RoutingPolicy.PROBE, CostModel.standard(), RetryPolicy.standard(), RequestLimits.standard());
+    private ModelShard.ShardParts shardParts(RequestLimits limits) {
+        RequestMachine machine =
+                RequestMachine.of(settings.routingPolicy(), CostModel.standard(), RetryPolicy.standard(), limits);
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
         return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
     }
@@ -133,7 +127,6 @@
                 .with("incarnation", incarnation)
                 .with("callers", callers.address())
                 .with("links", links.address())
-                .with("operators", operators.address())
                 .info();
     }
 
@@ -157,35 +150,6 @@
         return links.address();
     }
 
-    /**
-     * Returns where operators connect.
-     *
-     * @return the bound address and port
-     */
-    public InetSocketAddress operatorAddress() {
-        return operators.address();
-    }
-
-    /**
-     * Returns the entry's state.
-     *
-     * @return the present state, with the processes that it is connected to
-     */
-    public ProcessStatus status() {
-        return new ProcessStatus(
-                settings.processId(),
-                "entry",
-                settings.failureDomain(),
-                incarnation,
-                ready(),
-                inFlight.draining(),
-                configurations.version(),
-                inFlight.count(),
-                0,
-                0,
-                peers.all().stream().map(Peer::status).toList());
-    }
-
     /**
      * Says whether the entry takes new work with a good chance to serve it.
      *
@@ -214,10 +178,30 @@
      *
      * @return the registry of the entry's meters
      */
-    public MeterRegistry registry() {
+    public PrometheusMeterRegistry registry() {
         return registry;
     }
 
+    /**
+     * Describes the entry and the processes that it is connected to.
+     *
+     * @return the present state
+     */
+    public ProcessStatus status() {
+        return new ProcessStatus(
+                settings.processId(),
+                Role.ENTRY.name().toLowerCase(Locale.ROOT),
+                settings.failureDomain(),
+                incarnation,
+                ready(),
+                inFlight.draining(),
+                configurations.version(),
+                inFlight.count(),
+                0,
+                0,
+                peers.all().stream().map(Peer::status).toList());
+    }
+
     /**
      * Returns why requests went where they went.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/Peer.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/Peer.java
@@ -45,23 +45,6 @@
         return state.map(Message.SidecarState::estimatedWaitMicros).orElse(0L);
     }
 
-    /** Describes the peer for operators. */
-    HostStatus status() {
-        boolean leaving = state.filter(Message.SidecarState::leaving).isPresent();
-        long backend = state.map(Message.SidecarState::backendIncarnation).orElse(0L);
-        return new HostStatus(
-                host(),
-                hello.role().name().toLowerCase(Locale.ROOT),
-                address.getAddress().getHostAddress() + ":" + address.getPort(),
-                hello.failureDomain(),
-                link.open() && !suspect,
-                leaving,
-                incarnation,
-                backend,
-                0,
-                waitMicros());
-    }
-
     /** Describes the model engine behind the peer; empty for other processes. */
     Optional<Backend> backend(boolean listedAsLeaving) {
         return state.filter(known -> known.service().isEmpty())
@@ -75,6 +58,21 @@
                         known.estimatedWaitMicros()));
     }
 
+    /** Describes the peer to operators. */
+    HostStatus status() {
+        return new HostStatus(
+                host(),
+                hello.role().name().toLowerCase(Locale.ROOT),
+                address.getHostString() + ':' + address.getPort(),
+                hello.failureDomain(),
+                link.open(),
+                state.map(Message.SidecarState::leaving).orElse(false),
+                incarnation,
+                state.map(Message.SidecarState::backendIncarnation).orElse(0L),
+                0,
+                waitMicros());
+    }
+
     // -- transitions
 
     Peer with(Message.SidecarState next) {
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarAssembly.java
@@ -17,9 +17,13 @@
 import org.geraniumford.core.cache.CacheIndex;
 import org.geraniumford.core.cache.GapPolicy;
 import org.geraniumford.core.close.Closer;
+import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.core.membership.HostState;
 import org.geraniumford.core.tokens.TokenRegister;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
+import org.geraniumford.daemon.configuration.ConfigurationSync;
+import org.geraniumford.daemon.membership.HostDirectory;
 import org.geraniumford.daemon.settings.SidecarSettings;
 import org.geraniumford.transport.duty.Duty;
 import org.geraniumford.transport.engine.BackendHttp;
@@ -27,6 +31,9 @@
 import org.geraniumford.transport.engine.EngineClient;
 import org.geraniumford.transport.engine.PortCheck;
 import org.geraniumford.transport.engine.ServiceClient;
+import org.geraniumford.transport.link.LinkIdentity;
+import org.geraniumford.transport.link.LinkNetwork;
+import org.geraniumford.transport.platform.PlatformClient;
 
 /** Creates the parts of one sidecar and joins them by its ring. */
 final class SidecarAssembly {
@@ -41,10 +48,18 @@
     private final Closer closer;
     private final AtomicReference<Duty<SidecarEvent>> duty = new AtomicReference<>();
     private final long incarnation = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    private final ConfigurationHolder configuration = ConfigurationHolder.empty();
+    private final SidecarIdentity identity;
 
     SidecarAssembly(SidecarSettings settings, Closer closer) {
         this.settings = settings;
         this.closer = closer;
+        this.identity = new SidecarIdentity(
+                settings.processId(),
+                settings.failureDomain(),
+                settings.service(),
+                incarnation,
+                configuration::version);
     }
 
     // -- commands
@@ -58,17 +73,20 @@
         return group;
     }
 
+    /** Creates the client for both the backend server and the platform. */
+    AsyncHttpClient http() {
+        return closer.add(BackendHttp.create(CLIENT_THREADS));
+    }
+
     /** Creates the duty's work; the ring takes events once {@link #run} was called. */
-    SidecarDuty handler(EventLoopGroup group, SidecarMetrics metrics) {
-        AsyncHttpClient http = closer.add(BackendHttp.create(CLIENT_THREADS));
-        Engine engine = EngineClient.of(settings.backend(), http);
+    SidecarDuty handler(EventLoopGroup group, AsyncHttpClient http, SidecarMetrics metrics) {
+        Engine engine = engine(http);
         ServiceClient service = ServiceClient.of(settings.backend(), http);
         CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
         AdmissionQueue queue = AdmissionQueue.of(AdmissionLimits.standard(), CostModel.initial());
         TokenRegister tokens = TokenRegister.start(incarnation, CLOCK_SKEW, REMEMBERED_TOKENS);
         return SidecarDuty.of(
-                settings.processId(),
-                settings.service(),
+                identity,
                 ModelRequests.of(engine, this::offer, index, queue, metrics, System::nanoTime),
                 PlainCalls.of(service::pass, tokens, this::offer, metrics),
                 watch(group, engine, index),
@@ -81,7 +99,7 @@
                 ? EngineWatch.of(engine, index, this::offer, System.nanoTime())
                 : ServiceWatch.of(
                         () -> PortCheck.accepts(group, settings.backend()),
-                        new BackendState(settings.service(), "", "", incarnation),
+                        new BackendState(settings.service(), "", "", incarnation, false),
                         this::offer,
                         System.nanoTime());
     }
@@ -90,6 +108,36 @@
         duty.set(closer.add(Duty.start("sidecar", RING_EVENTS, TICK, handler)));
     }
 
+    /** Keeps the configuration up to date. */
+    ConfigurationSync follow(PlatformClient platform, LinkNetwork network) {
+        return closer.add(ConfigurationSync.start(configuration, platform, network, settings.seeds(), incarnation));
+    }
+
+    /** Follows the platform's host list, and what it says of this host. */
+    HostDirectory followHostList(PlatformClient platform) {
+        HostDirectory hosts = closer.add(HostDirectory.start(platform, incarnation));
+        hosts.onChange(() -> Delivery.untilTaken(this::offer, new SidecarEvent.Listed(listedLeaving(hosts))));
+        return hosts;
+    }
+
+    /** Keeps a model engine at the version that the configuration wants. */
+    void keepOrders(SidecarDuty handler, AsyncHttpClient http, PlatformClient platform, HostDirectory hosts) {
+        if (settings.service().isEmpty()) {
+            handler.orderedBy(closer.add(OrderKeeper.start(
+                    identity, engine(http), platform, configuration::current, hosts::hosts, this::offer)));
+        }
+    }
+
+    private Engine engine(AsyncHttpClient http) {
+        return EngineClient.of(settings.backend(), http);
+    }
+
+    private boolean listedLeaving(HostDirectory hosts) {
+        return hosts.hosts().stream()
+                .filter(host -> host.name().equals(settings.processId()))
+                .anyMatch(host -> host.state() == HostState.LEAVING);
+    }
+
     /** Asks the duty to take no new work; the future is done once everything that runs has finished. */
     CompletableFuture<Void> leave() {
         CompletableFuture<Void> finished = new CompletableFuture<>();
@@ -105,12 +153,12 @@
 
     // -- queries
 
-    Message.Hello hello() {
+    private Message.Hello hello() {
         String backend = settings.service().isEmpty() ? settings.processId() : settings.service();
         return new Message.Hello(settings.processId(), Role.SIDECAR, settings.failureDomain(), backend);
     }
 
-    long incarnation() {
-        return incarnation;
+    LinkIdentity linkIdentity() {
+        return new LinkIdentity(hello(), incarnation, configuration::version);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarEvent.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarEvent.java
@@ -93,6 +93,22 @@
         }
     }
 
+    /** An order needs the engine without requests, or needs it no longer. */
+    record Quiesced(boolean closed) implements SidecarEvent {
+        @Override
+        public void handle(SidecarDuty duty) {
+            duty.quiesce(closed);
+        }
+    }
+
+    /** The platform's host list changed. */
+    record Listed(boolean leaving) implements SidecarEvent {
+        @Override
+        public void handle(SidecarDuty duty) {
+            duty.listed(leaving);
+        }
+    }
+
     /** The process is to leave. */
     record Leave(CompletableFuture<Void> finished) implements SidecarEvent {
         @Override
--- a/daemon/src/test/java/org/geraniumford/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/EntryFixture.java
@@ -31,6 +31,7 @@
 import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.membership.HostKind;
 import org.geraniumford.core.membership.HostState;
+import org.geraniumford.core.request.RequestLimits;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.transport.metrics.ReasonCounters;
 
@@ -46,23 +47,29 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final EntryDaemon entry;
 
-    private EntryFixture() {
+    private EntryFixture(RequestLimits limits) {
         InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         EntrySettings settings = new EntrySettings(
                 "entry-1", "kigali-a", free, free, free, URI.create("http://127.0.0.1:1"), List.of(), 64);
         entry = EntryDaemon.start(
-                        settings, holder, (held, network, incarnation, closer) -> EntryEnvironment.of(() -> hosts))
+                        settings,
+                        holder,
+                        (held, network, incarnation, closer) -> EntryEnvironment.of(() -> hosts, limits))
                 .join();
     }
 
     // -- construction
 
     static EntryFixture unconfigured() {
-        return new EntryFixture();
+        return new EntryFixture(RequestLimits.standard());
     }
 
     static EntryFixture start() {
-        EntryFixture fixture = new EntryFixture();
+        return start(RequestLimits.standard());
+    }
+
+    static EntryFixture start(RequestLimits limits) {
+        EntryFixture fixture = new EntryFixture(limits);
         fixture.holder.offer(configuration());
         return fixture;
     }
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/SlowPeersTest.java
@@ -0,0 +1,91 @@
+package org.geraniumford.daemon.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.geraniumford.core.request.RequestLimits;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class SlowPeersTest {
+    private static final int WINDOW = 64;
+    private static final int TOKENS = 10_000;
+    private static final String LONG_TOKEN = "x".repeat(8 * 1024);
+    private static final RequestLimits LIMITS = new RequestLimits(
+            Duration.ofMillis(20),
+            Duration.ofMillis(100),
+            Duration.ofMillis(200),
+            Duration.ofSeconds(30),
+            Duration.ofMillis(500),
+            WINDOW);
+
+    private final EntryFixture fixture = EntryFixture.start(LIMITS);
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    @Test
+    void shouldResumeElsewhereWhenASidecarIsFrozen() {
+        FakeSidecar frozen = fixture.engine("runner-1");
+        AtomicInteger submits = new AtomicInteger();
+        frozen.behave((link, message) -> {
+            if (message instanceof Message.Submit submit) {
+                submits.incrementAndGet();
+                FakeSidecar.start(link, submit);
+                FakeSidecar.tokens(link, submit, 0, 5);
+            }
+        });
+        var response = fixture.sendAsync(fixture.chat(",\"max_tokens\":8"));
+        EntryFixture.await(() -> submits.get() == 1);
+        fixture.engine("runner-2");
+        HttpResponse<String> answer = response.join();
+        assertThat(answer.body()).contains("t0 t1 t2 t3 t4 t5 t6 t7 ").contains("\"backend\":\"runner-2\"");
+        assertThat(frozen.got(Message.Ping.class)).isTrue();
+        assertThat(fixture.send(fixture.chat(",\"max_tokens\":1")).body()).contains("\"backend\":\"runner-2\"");
+        assertThat(submits).hasValue(1);
+    }
+
+    @Test
+    void shouldHoldBackTheEngineAndCutACallerThatReadsNothing() throws IOException {
+        FakeSidecar sidecar = fixture.engine("runner-1");
+        AtomicInteger sent = new AtomicInteger();
+        sidecar.behave((link, message) -> {
+            if (message instanceof Message.Submit submit) {
+                FakeSidecar.start(link, submit);
+                send(link, submit.id(), sent, submit.credit());
+            } else if (message instanceof Message.Credit credit) {
+                send(link, credit.id(), sent, credit.upToOffset());
+            } else {
+                FakeSidecar.answer(link, message);
+            }
+        });
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), fixture.port())) {
+            String body = "{\"model\":\"drafts\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":" + TOKENS + "}";
+            String head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryFixture.KEY
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n";
+            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+            EntryFixture.await(() -> fixture.refusals("slow_reader") == 1);
+            EntryFixture.await(() -> sidecar.got(Message.Cancel.class));
+        }
+        assertThat(sent.get()).isLessThan(TOKENS);
+    }
+
+    private static void send(Link link, AttemptId id, AtomicInteger sent, int upTo) {
+        int from = sent.getAndSet(Math.min(upTo, TOKENS));
+        IntStream.range(from, sent.get())
+                .forEach(offset -> link.send(new Message.Chunk(id, offset, List.of(LONG_TOKEN))));
+    }
+}
--- a/trials/src/main/java/org/geraniumford/trials/caller/ModelAnswer.java
+++ b/trials/src/main/java/org/geraniumford/trials/caller/ModelAnswer.java
@@ -53,6 +53,7 @@
     static final class Reader {
         private final int status;
         private final long sent;
+        private final Runnable onFirstToken;
         private final StringBuilder text = new StringBuilder();
         private StreamEnd end = StreamEnd.CUT;
         private String reason = "";
@@ -60,9 +61,10 @@
         private Duration timeToFirstToken = Duration.ZERO;
         private JsonNode source = com.fasterxml.jackson.databind.node.MissingNode.getInstance();
 
-        Reader(int status, long sent) {
+        Reader(int status, long sent, Runnable onFirstToken) {
             this.status = status;
             this.sent = sent;
+            this.onFirstToken = onFirstToken;
         }
 
         void event(JsonNode event, long now) {
@@ -78,6 +80,7 @@
                     event.path("choices").path(0).path("delta").path("content").asText("");
             if (!delta.isEmpty() && text.isEmpty()) {
                 timeToFirstToken = Duration.ofNanos(now - sent);
+                onFirstToken.run();
             }
             text.append(delta);
         }
