--- a/daemon/src/main/java/org/geraniumford/daemon/command/DrainCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/DrainCommand.java
@@ -65,17 +65,25 @@
         return ended ? "drained" : "still running after " + seconds + " s";
     }
 
+    /** Waits until a process has no requests left or has ended. */
     private static boolean waitFor(OperatorClient client, InetSocketAddress address, long deadline, Console console)
             throws CommandException {
-        ProcessStatus status = client.status(address);
-        while (status.running() + status.waiting() > 0 && System.nanoTime() - deadline < 0) {
-            console.err()
-                    .println(OperatorClient.shown(address) + ": " + status.running() + " running, " + status.waiting()
-                            + " waiting");
+        int left = requestsLeft(client, address);
+        while (left > 0 && System.nanoTime() - deadline < 0) {
+            console.err().println(OperatorClient.shown(address) + ": " + left + " requests left");
             pause();
-            status = client.status(address);
+            left = requestsLeft(client, address);
+        }
+        return left == 0;
+    }
+
+    private static int requestsLeft(OperatorClient client, InetSocketAddress address) {
+        try {
+            ProcessStatus status = client.status(address);
+            return status.running() + status.waiting();
+        } catch (CommandException e) {
+            return 0;
         }
-        return status.running() + status.waiting() == 0;
     }
 
     private static void pause() throws CommandException {
--- a/daemon/src/main/java/org/geraniumford/daemon/operator/HostStatus.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/operator/HostStatus.java
@@ -2,6 +2,10 @@
 
 import static java.util.Objects.requireNonNull;
 
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.annotation.JsonNaming;
+
 /**
  * What one process knows of another host.
  *
@@ -16,6 +20,8 @@
  * @param configurationVersion the configuration version that it named last; 0 if not known
  * @param estimatedWaitMicros the wait that it named last, in microseconds
  */
+@JsonIgnoreProperties(ignoreUnknown = true)
+@JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
 public record HostStatus(
         String name,
         String kind,
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
@@ -25,13 +25,13 @@
             SettingType.integer("tokens", 1, 1_000_000),
             "4000",
             "The engines' cache piece size. Must be the same on every entry.");
-    private static final Setting<RoutingPolicy> ROUTING_POLICY = Setting.optional(
+    private static final Setting<RoutingPolicy> ROUTING_POLICY = optional(
             "routing",
             "policy",
             SettingType.choice(RoutingPolicy.class),
             "probe",
             "How the host of a model request is found. All but probe are for comparisons.");
-    private static final Setting<Integer> PREFILL_RATE = Setting.optional(
+    private static final Setting<Integer> PREFILL_RATE = optional(
             "routing",
             "prefill_tokens_per_second",
             SettingType.integer("tokens/s", 1, 10_000_000),
