--- a/core/src/main/java/org/geraniumford/core/admission/CostModel.java
+++ b/core/src/main/java/org/geraniumford/core/admission/CostModel.java
@@ -1,19 +1,26 @@
 package org.geraniumford.core.admission;
 
-/**
- * What an engine's work takes, learned from its answers as exponentially weighted moving averages.
- *
- * @param prefillNanosPerToken the time to compute one missed prompt token, in nanoseconds
- * @param tokenNanos the time between two answer tokens of one request, in nanoseconds
- * @param answerTokens the length of an answer, in tokens
- * @param delayNanos the time that a request delays the next one besides its prefill, in nanoseconds
- */
-public record CostModel(double prefillNanosPerToken, double tokenNanos, double answerTokens, double delayNanos) {
+import static java.util.Objects.requireNonNull;
+
+/** What an engine's work takes, learned from its answers. Later answers count more than earlier ones. Immutable. */
+public final class CostModel {
     private static final double GAIN = 0.1;
     private static final double INITIAL_PREFILL_NANOS_PER_TOKEN = 50_000;
     private static final double INITIAL_TOKEN_NANOS = 20_000_000;
     private static final double INITIAL_ANSWER_TOKENS = 64;
-    private static final int MIN_MISSED_TOKENS = 64;
+    private static final double INITIAL_MISSED_TOKENS = 4_000;
+
+    private final LinearFit prefill;
+    private final double tokenNanos;
+    private final double answerTokens;
+    private final double delayNanos;
+
+    private CostModel(LinearFit prefill, double tokenNanos, double answerTokens, double delayNanos) {
+        this.prefill = requireNonNull(prefill, "prefill is null");
+        this.tokenNanos = tokenNanos;
+        this.answerTokens = answerTokens;
+        this.delayNanos = delayNanos;
+    }
 
     // -- construction
 
@@ -23,26 +30,45 @@
      * @return 50 µs for a prompt token, 20 ms between answer tokens, answers of 64 tokens
      */
     public static CostModel initial() {
-        return new CostModel(INITIAL_PREFILL_NANOS_PER_TOKEN, INITIAL_TOKEN_NANOS, INITIAL_ANSWER_TOKENS, 0);
+        return of(INITIAL_PREFILL_NANOS_PER_TOKEN, INITIAL_TOKEN_NANOS, INITIAL_ANSWER_TOKENS);
+    }
+
+    /**
+     * Returns the model of an engine that is known.
+     *
+     * @param prefillNanosPerToken the time to compute one missed prompt token, in nanoseconds
+     * @param tokenNanos the time between two answer tokens of one request, in nanoseconds
+     * @param answerTokens the length of an answer, in tokens
+     * @return a model without fixed costs
+     */
+    public static CostModel of(double prefillNanosPerToken, double tokenNanos, double answerTokens) {
+        LinearFit prefill = LinearFit.of(prefillNanosPerToken, 0, INITIAL_MISSED_TOKENS);
+        return new CostModel(prefill, tokenNanos, answerTokens, 0);
     }
 
     // -- combinators
 
     /**
-     * Learns from one prefill. Prefills of few tokens are passed over, since their fixed cost prevails.
+     * Learns from one prefill.
      *
      * @param missedTokens the number of tokens computed
-     * @param nanos the time it took
+     * @param nanos the time from its begin to the first answer token
      * @return a new model
      */
     public CostModel withPrefill(long missedTokens, long nanos) {
-        return missedTokens < MIN_MISSED_TOKENS
-                ? this
-                : new CostModel(
-                        average(prefillNanosPerToken, (double) nanos / missedTokens),
-                        tokenNanos,
-                        answerTokens,
-                        delayNanos);
+        return new CostModel(prefill.with((double) missedTokens, (double) nanos), tokenNanos, answerTokens, delayNanos);
+    }
+
+    /**
+     * Learns how long a request kept the engine from the next one.
+     *
+     * @param missedTokens the number of tokens computed
+     * @param nanos the time from passing the request on to its first token, shared by the requests that waited at once
+     * @return a new model
+     */
+    public CostModel withDelay(long missedTokens, long nanos) {
+        double sample = Math.max(0, nanos - prefillNanos(missedTokens));
+        return new CostModel(prefill, tokenNanos, answerTokens, average(delayNanos, sample));
     }
 
     /**
@@ -56,34 +82,22 @@
         return tokens < 2
                 ? this
                 : new CostModel(
-                        prefillNanosPerToken,
+                        prefill,
                         average(tokenNanos, (double) nanos / (tokens - 1)),
                         average(answerTokens, tokens),
                         delayNanos);
     }
 
-    /**
-     * Learns how long a request kept the engine from the next one.
-     *
-     * @param missedTokens the number of tokens computed
-     * @param nanos the time from passing the request on to its first token, shared by the requests that waited at once
-     * @return a new model
-     */
-    public CostModel withDelay(long missedTokens, long nanos) {
-        double sample = Math.max(0, nanos - prefillNanos(missedTokens));
-        return new CostModel(prefillNanosPerToken, tokenNanos, answerTokens, average(delayNanos, sample));
-    }
-
     // -- queries
 
     /**
      * Estimates a prefill.
      *
      * @param missedTokens the number of tokens to compute
-     * @return the time in nanoseconds
+     * @return the time to the first answer token in nanoseconds
      */
     public long prefillNanos(long missedTokens) {
-        return (long) (prefillNanosPerToken * missedTokens);
+        return (long) prefill.at((double) missedTokens);
     }
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/admission/LinearFit.java
@@ -0,0 +1,45 @@
+package org.geraniumford.core.admission;
+
+/**
+ * A straight line through samples, of which older ones count exponentially less.
+ *
+ * @param meanX the mean of the abscissae
+ * @param meanY the mean of the ordinates
+ * @param varianceX the variance of the abscissae
+ * @param covariance the covariance of both
+ */
+record LinearFit(double meanX, double meanY, double varianceX, double covariance) {
+    private static final double GAIN = 0.05;
+    private static final double MIN_VARIANCE = 1;
+
+    // -- construction
+
+    /** Returns a line with a given slope and intercept, as though it had been seen around a mean abscissa. */
+    static LinearFit of(double slope, double intercept, double meanX) {
+        double variance = meanX * meanX;
+        return new LinearFit(meanX, intercept + slope * meanX, variance, slope * variance);
+    }
+
+    // -- combinators
+
+    LinearFit with(double x, double y) {
+        double dx = x - meanX;
+        double dy = y - meanY;
+        return new LinearFit(
+                meanX + GAIN * dx,
+                meanY + GAIN * dy,
+                (1 - GAIN) * (varianceX + GAIN * dx * dx),
+                (1 - GAIN) * (covariance + GAIN * dx * dy));
+    }
+
+    // -- queries
+
+    /** Estimates an ordinate; never negative, and never falling with the abscissa. */
+    double at(double x) {
+        return Math.max(0, meanY + slope() * (x - meanX));
+    }
+
+    private double slope() {
+        return varianceX < MIN_VARIANCE ? 0 : Math.max(0, covariance / varianceX);
+    }
+}
--- a/core/src/test/java/org/geraniumford/core/admission/SimulatedEngine.java
+++ b/core/src/test/java/org/geraniumford/core/admission/SimulatedEngine.java
@@ -34,7 +34,7 @@
     private long prefillEnd = Long.MAX_VALUE;
 
     SimulatedEngine(AdmissionLimits limits) {
-        queue = AdmissionQueue.of(limits, new CostModel(NANOS_PER_TOKEN, 1_000_000, 1, 0));
+        queue = AdmissionQueue.of(limits, CostModel.of(NANOS_PER_TOKEN, 1_000_000, 1));
     }
 
     CacheView view() {
--- a/daemon/src/test/java/org/geraniumford/daemon/sidecar/SidecarOrdersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/sidecar/SidecarOrdersTest.java
@@ -34,6 +34,7 @@
     private static final String OLD = "a".repeat(64);
     private static final String NEW = "b".repeat(64);
     private static final int TOKENS = 200;
+    private static final long STATUS_TRIES = 100_000;
 
     private PlatformStandIn platform;
     private AsyncHttpClient http;
@@ -98,10 +99,11 @@
 
     private static void awaitConfiguration(LinkClient client) {
         String json = "";
-        for (long id = 1; !json.contains("\"configurationVersion\":1"); id++) {
+        for (long id = 1; id < STATUS_TRIES && !json.contains("\"configuration_version\":1"); id++) {
             client.send(new Message.StatusRequest(id));
             json = client.next(Message.StatusAnswer.class).json();
         }
+        assertThat(json).contains("\"configuration_version\":1");
     }
 
     private static Message.Submit submit(String request, String weights, int credit) {
