Fault table: foreign tokens and lost ring events are told apart

Cause: three mutations survived the table (weights not checked, incarnation not checked, lost ring event unnoticed), since the stall check ended those rows too. Change: tokens of other weights or incarnations carry another text, so that one that gets through fails the row; a lost ring event must end at the next tick.

--- a/daemon/src/test/java/org/geraniumford/daemon/sidecar/ModelRequestsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/sidecar/ModelRequestsTest.java
@@ -178,6 +178,18 @@
         abstract void happen(ModelRequestsTest test);
     }
 
+    @Test
+    void shouldRefuseAtNextTickWhenRingLostPartOfAnswer() {
+        requests.submit(peer, submit("r1", 1_000), UP);
+        Fault.RING_FULL.happen(this);
+        requests.tick();
+        assertThat(peer.of("r1")).singleElement().isInstanceOfSatisfying(Message.Refused.class, refused -> {
+            assertThat(refused.refusal().reason()).isEqualTo(Reason.RING_FULL);
+            assertThat(refused.refusal().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        });
+        assertThat(engine.cancelled).containsExactly("r1.1");
+    }
+
     // -- back pressure
 
     @Test
@@ -213,7 +225,8 @@
     }
 
     private void token(int offset, long incarnation, String weights) {
-        answer(new EngineAnswer.Token(offset, "t" + offset, incarnation, weights));
+        boolean foreign = incarnation != INCARNATION || !weights.equals(WEIGHTS);
+        answer(new EngineAnswer.Token(offset, foreign ? "foreign" : "t" + offset, incarnation, weights));
     }
 
     private void answer(EngineAnswer answer) {
