--- /dev/null
+++ b/benchmarks/src/main/java/org/geraniumford/benchmarks/capacity/Samples.java
@@ -0,0 +1,124 @@
+package org.geraniumford.benchmarks.capacity;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.geraniumford.core.cache.CacheEvent;
+import org.geraniumford.core.cache.CacheIndex;
+import org.geraniumford.core.cache.GapPolicy;
+import org.geraniumford.core.prefix.Piece;
+import org.geraniumford.core.prefix.PieceKey;
+import org.geraniumford.core.routing.Backend;
+import org.geraniumford.core.routing.Fleet;
+import org.geraniumford.core.routing.RouteQuery;
+import org.geraniumford.core.wire.AttemptId;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
+
+/** Inputs of a given size, the same on every run. */
+final class Samples {
+    static final int PIECE_TOKENS = 4000;
+    static final String WEIGHTS = "af72250d489ae165bf74a26d181af5117879339ffbb1725e2fb09c82c5cf3441";
+
+    private static final long SEED = 20;
+    private static final long INCARNATION = 1_700_000_000_000_000L;
+    private static final int MODELS = 9;
+    private static final int DOMAINS = 8;
+
+    private Samples() {}
+
+    static List<PieceKey> keys(int count) {
+        Random random = new Random(SEED);
+        return IntStream.range(0, count)
+                .mapToObj(i -> new PieceKey(random.nextLong(), random.nextLong()))
+                .toList();
+    }
+
+    static List<Piece> pieces(int count) {
+        return keys(count).stream().map(key -> new Piece(key, PIECE_TOKENS)).toList();
+    }
+
+    /** Returns an index that holds some number of pieces; the last sequence is that number. */
+    static CacheIndex index(int count) {
+        CacheIndex index = CacheIndex.of(GapPolicy.VOID_AFFECTED);
+        index.incarnation(INCARNATION);
+        List<PieceKey> keys = keys(count);
+        IntStream.range(0, count).forEach(i -> index.apply(event(i + 1L, CacheEvent.Kind.STORED, keys.get(i))));
+        return index;
+    }
+
+    static CacheEvent event(long sequence, CacheEvent.Kind kind, PieceKey key) {
+        return new CacheEvent(INCARNATION, sequence, kind, List.of(key));
+    }
+
+    static Envelope probe(int pieces) {
+        return envelope(new Message.Probe(
+                1, WEIGHTS, keys(pieces).stream().map(PieceKey::shortDigest).toList()));
+    }
+
+    static Envelope chunk(int tokens) {
+        List<String> texts =
+                IntStream.range(0, tokens).mapToObj(i -> "word" + i).toList();
+        return envelope(new Message.Chunk(new AttemptId("entry-1-1796333-1001", 1), 100, texts));
+    }
+
+    static Envelope envelope(Message message) {
+        return new Envelope(INCARNATION, 1000, 850, message);
+    }
+
+    static List<Backend> runners(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> new Backend(
+                        "runner-" + i,
+                        "domain-" + i % DOMAINS,
+                        "model-" + i % MODELS,
+                        WEIGHTS + i % MODELS,
+                        1,
+                        false,
+                        i))
+                .toList();
+    }
+
+    static Fleet fleet(int runners) {
+        return Fleet.ofAll(runners(runners));
+    }
+
+    static RouteQuery query(int pieces) {
+        return new RouteQuery(
+                "model-0",
+                WEIGHTS + 0,
+                "domain-0",
+                pieces(pieces),
+                List.of(1, 4, pieces - 1, pieces),
+                Optional.empty(),
+                Set.of(),
+                1);
+    }
+
+    /** Returns a merged configuration with some number of customers and nine models. */
+    static String configuration(int customers) {
+        String models = IntStream.range(0, MODELS)
+                .mapToObj(i -> "[model m%d]%nversion = m%d-1%nweights_digest = %s%nmax_tokens = 512%n"
+                        .formatted(i, i, WEIGHTS))
+                .collect(Collectors.joining());
+        String classes = "[class check]%nrank = 0%nfirst_token_deadline_ms = 2000%n".formatted();
+        String brands =
+                IntStream.range(0, customers).mapToObj(Samples::customer).collect(Collectors.joining());
+        return (models + classes + brands).replace("\r", "");
+    }
+
+    private static String customer(int number) {
+        return """
+                [customer brand-%d]
+                brand = Brand number %d
+                key_digests = %064x
+                weight = 2
+                requests_per_second = 20
+                tokens_per_second = 100000
+                max_streams = 32
+                """.formatted(number, number, number + 1);
+    }
+}
