--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/limits/LimitHome.java
@@ -0,0 +1,168 @@
+package org.geraniumford.core.limits;
+
+import static java.util.Objects.requireNonNull;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import org.geraniumford.core.configuration.Customer;
+
+/**
+ * The accounts of the customers whose home an entry is. It adds up what all entries admitted, divides each limit by
+ * demand, and blocks a customer whose account is in debt until the debt is repaid. Its state is soft: a new home starts
+ * with full accounts. Not thread-safe.
+ */
+public final class LimitHome {
+    /** The shortest time between two reports of one entry for one customer, in microseconds. */
+    public static final long MIN_REPORT_MICROS = 100_000;
+
+    /** The bytes a second that a home spends on reports and shares. */
+    public static final long BYTES_PER_SECOND = 5_000;
+
+    /** The bytes of a report and its share on the wire, with TCP and IP. */
+    public static final long EXCHANGE_BYTES = 300;
+
+    private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long KILOSECOND = 1_000;
+    private static final int EXPIRY_REPORTS = 3;
+    private static final long MAX_ACCOUNTS = 100_000;
+
+    private final Map<String, Account> accounts = new HashMap<>();
+    private int reporters;
+
+    private LimitHome() {}
+
+    private record Reporter(double requests, double tokens, int streams, long expiresMicros) {}
+
+    private static final class Account {
+        private final RateBucket requests;
+        private final RateBucket tokens;
+        private final Map<String, Reporter> reporters = new HashMap<>();
+
+        Account(Customer customer, long nowMicros) {
+            this.requests = new RateBucket(customer.requestsPerSecond(), nowMicros);
+            this.tokens = new RateBucket(customer.tokensPerSecond(), nowMicros);
+        }
+    }
+
+    // -- construction
+
+    /**
+     * Creates a home.
+     *
+     * @return a home without accounts
+     */
+    public static LimitHome empty() {
+        return new LimitHome();
+    }
+
+    // -- queries
+
+    /**
+     * Finds the home of a customer by rendezvous hashing.
+     *
+     * @param customer the customer's name
+     * @param entries the names of the entries
+     * @return the same entry for every process that knows the same entries; empty if there are none
+     */
+    public static Optional<String> of(String customer, List<String> entries) {
+        return entries.stream()
+                .max(Comparator.comparingLong((String entry) -> Hashing.wyhashFinal4()
+                                .hashStream()
+                                .putString(customer)
+                                .putString(entry)
+                                .getAsLong())
+                        .thenComparing(Comparator.naturalOrder()));
+    }
+
+    // -- commands
+
+    /**
+     * Takes an entry's report.
+     *
+     * @param customer the customer's limits
+     * @param usage the report
+     * @param nowMicros the time in microseconds, of any fixed origin
+     * @return what the entry may do next
+     */
+    public LimitShare report(Customer customer, LimitUsage usage, long nowMicros) {
+        requireNonNull(customer, "customer is null");
+        Account account = account(customer, nowMicros);
+        account.requests.fill(customer.requestsPerSecond(), customer.requestsPerSecond(), nowMicros);
+        account.tokens.fill(customer.tokensPerSecond(), customer.tokensPerSecond(), nowMicros);
+        account.requests.take((double) usage.requests());
+        account.tokens.take((double) usage.tokens());
+        remember(account, usage, nowMicros);
+        return share(customer, account, usage.entry());
+    }
+
+    private Account account(Customer customer, long nowMicros) {
+        if (accounts.size() >= MAX_ACCOUNTS) {
+            expire(nowMicros);
+        }
+        return accounts.computeIfAbsent(customer.name(), name -> new Account(customer, nowMicros));
+    }
+
+    private void remember(Account account, LimitUsage usage, long nowMicros) {
+        reporters -= account.reporters.size();
+        account.reporters.values().removeIf(reporter -> reporter.expiresMicros() <= nowMicros);
+        double seconds = (double) usage.periodMicros() / MICROS_PER_SECOND;
+        account.reporters.put(
+                usage.entry(),
+                new Reporter(
+                        usage.wantedRequests() / seconds,
+                        usage.wantedTokens() / seconds,
+                        usage.streams(),
+                        nowMicros + EXPIRY_REPORTS * reportAfterMicros() + MICROS_PER_SECOND));
+        reporters += account.reporters.size();
+    }
+
+    private void expire(long nowMicros) {
+        accounts.values()
+                .removeIf(account -> account.reporters.values().stream()
+                        .allMatch(reporter -> reporter.expiresMicros() <= nowMicros));
+        reporters = accounts.values().stream()
+                .mapToInt(account -> account.reporters.size())
+                .sum();
+    }
+
+    // -- shares
+
+    private LimitShare share(Customer customer, Account account, String entry) {
+        double requests = share(customer.requestsPerSecond(), account, entry, Reporter::requests);
+        double tokens = share(customer.tokensPerSecond(), account, entry, Reporter::tokens);
+        int others = account.reporters.entrySet().stream()
+                .filter(other -> !other.getKey().equals(entry))
+                .mapToInt(other -> other.getValue().streams())
+                .sum();
+        return new LimitShare(
+                customer.name(),
+                (long) (requests * KILOSECOND),
+                (long) tokens,
+                Math.max(0, customer.maxStreams() - others),
+                blockedMicros(customer, account),
+                reportAfterMicros());
+    }
+
+    /** Gives an entry its part of a limit in the proportion of demand, or all that the others leave. */
+    private static double share(double limit, Account account, String entry, ToDoubleFunction<Reporter> demand) {
+        double mine = demand.applyAsDouble(account.reporters.get(entry));
+        double all = account.reporters.values().stream().mapToDouble(demand).sum();
+        return all <= limit ? limit - (all - mine) : limit * mine / all;
+    }
+
+    private static long blockedMicros(Customer customer, Account account) {
+        long requests =
+                customer.requestsPerSecond() == 0 ? 0 : account.requests.microsUntil(0, customer.requestsPerSecond());
+        long tokens = customer.tokensPerSecond() == 0 ? 0 : account.tokens.microsUntil(0, customer.tokensPerSecond());
+        return Math.max(requests, tokens);
+    }
+
+    private long reportAfterMicros() {
+        return Math.max(MIN_REPORT_MICROS, reporters * EXCHANGE_BYTES * MICROS_PER_SECOND / BYTES_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/limits/CustomerLimitsTest.java
@@ -0,0 +1,243 @@
+package org.geraniumford.core.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.geraniumford.core.configuration.Customer;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.verdict.Verdict;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class CustomerLimitsTest {
+    private static final long SECOND = 1_000_000;
+
+    // -- one entry
+
+    @Test
+    void shouldAdmitEverythingWhenACustomerHasNoLimits() {
+        CustomerLimits limits = CustomerLimits.of("entry-1", () -> 410);
+        Customer customer = customer(0, 0, 0);
+        assertThat(IntStream.range(0, 1000))
+                .allMatch(i -> limits.admit(customer, 1000, 0).isEmpty());
+        assertThat(limits.due(SECOND)).isEmpty();
+    }
+
+    @Test
+    void shouldRefuseAsNotRunWithTheTimeToComeBackWhenALimitIsReached() {
+        CustomerLimits limits = CustomerLimits.of("entry-1", () -> 1);
+        assertThat(limits.admit(customer(1, 0, 0), 10, 0)).isEmpty();
+        Refusal refusal = limits.admit(customer(1, 0, 0), 10, 0).orElseThrow();
+        assertThat(refusal.reason()).isEqualTo(Reason.REQUEST_RATE_LIMITED);
+        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        long back = refusal.retryAfter().toNanos() / 1000;
+        assertThat(limits.admit(customer(1, 0, 0), 10, back)).isEmpty();
+    }
+
+    @Test
+    void shouldLimitOpenStreamsUntilOneEnds() {
+        CustomerLimits limits = CustomerLimits.of("entry-1", () -> 1);
+        Customer customer = customer(0, 0, 2);
+        assertThat(limits.admit(customer, 1, 0)).isEmpty();
+        assertThat(limits.admit(customer, 1, 0)).isEmpty();
+        assertThat(limits.admit(customer, 1, 0).map(Refusal::reason)).contains(Reason.STREAMS_LIMITED);
+        limits.finished(customer, 0);
+        assertThat(limits.admit(customer, 1, 0)).isEmpty();
+    }
+
+    @Test
+    void shouldLimitTokensAlsoWhenAnswersAreLongerThanEstimated() {
+        CustomerLimits limits = CustomerLimits.of("entry-1", () -> 1);
+        Customer customer = customer(0, 1000, 0);
+        assertThat(limits.admit(customer, 100, 0)).isEmpty();
+        limits.finished(customer, 500);
+        assertThat(limits.admit(customer, 1, 0).map(Refusal::reason)).contains(Reason.TOKEN_RATE_LIMITED);
+    }
+
+    @Test
+    void shouldChooseTheSameHomeWhenOtherEntriesLeave() {
+        List<String> entries =
+                IntStream.range(0, 20).mapToObj(i -> "entry-" + i).toList();
+        String home = LimitHome.of("amahoro", entries).orElseThrow();
+        List<String> fewer = entries.stream()
+                .filter(name -> name.equals(home) || name.endsWith("1"))
+                .toList();
+        assertThat(LimitHome.of("amahoro", fewer)).contains(home);
+        assertThat(LimitHome.of("amahoro", List.of())).isEmpty();
+    }
+
+    // -- all entries, on a virtual clock
+
+    @ParameterizedTest
+    @CsvSource({
+        // entries, limit a second, demand as a multiple of it, seed
+        "1,   100, 5, 1",
+        "4,   100, 5, 2",
+        "20,  100, 5, 3",
+        "20,  100, 1, 4",
+        "410, 500, 5, 5",
+    })
+    void shouldHoldTheLimitOverAllEntriesWithinATenthWhenDemandExceedsIt(
+            int entries, int limit, double demand, long seed) {
+        World world = new World(entries, customer(limit, 0, 0), seed);
+        world.run(20 * SECOND, limit * demand, entries, true);
+        long before = world.admitted;
+        world.run(60 * SECOND, limit * demand, entries, true);
+        assertThat(world.admitted - before).isLessThanOrEqualTo((long) (limit * 60 * 1.1));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"4, 100, 6", "20, 100, 7", "410, 500, 8"})
+    void shouldGiveACustomerItsFullLimitWhenItsTrafficIsOnOneEntry(int entries, int limit, long seed) {
+        World world = new World(entries, customer(limit, 0, 0), seed);
+        world.run(10 * SECOND, limit * 2, 1, true);
+        long before = world.admitted;
+        world.run(30 * SECOND, limit * 2, 1, true);
+        assertThat(world.admitted - before).isBetween((long) (limit * 30 * 0.9), (long) (limit * 30 * 1.1));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"4, 100, 9", "20, 100, 10", "410, 500, 11"})
+    void shouldRefuseHardlyAnythingWhenDemandIsHalfTheLimitOverAllEntries(int entries, int limit, long seed) {
+        World world = new World(entries, customer(limit, 0, 0), seed);
+        world.run(60 * SECOND, limit * 0.5, entries, true);
+        assertThat(world.refused).isLessThanOrEqualTo(world.admitted / 20);
+    }
+
+    @Test
+    void shouldFallBackToEqualSharesWhenTheHomeIsLost() {
+        World world = new World(10, customer(100, 0, 0), 12);
+        world.run(10 * SECOND, 300, 10, true);
+        world.run(10 * SECOND, 300, 10, false);
+        long before = world.admitted;
+        world.run(30 * SECOND, 300, 10, false);
+        assertThat(world.admitted - before).isBetween((long) (100 * 30 * 0.9), (long) (100 * 30 * 1.1));
+    }
+
+    @Test
+    void shouldStayWithinTheControlBudgetAtThePlannedSize() {
+        int entries = 410;
+        Map<String, Customer> customers = new HashMap<>();
+        IntStream.range(0, 7500).mapToObj(i -> "customer-" + i).forEach(name -> customers.put(name, named(name, 10)));
+        World world = new World(entries, customers, 13);
+        world.run(20 * SECOND, 2900, entries, true);
+        long[] before = world.bytes.clone();
+        world.run(30 * SECOND, 2900, entries, true);
+        long busiest = IntStream.range(0, entries)
+                .mapToLong(i -> world.bytes[i] - before[i])
+                .max()
+                .orElseThrow();
+        assertThat(busiest / 30).isLessThan(15_000);
+    }
+
+    // -- data
+
+    private static Customer customer(int requests, int tokens, int streams) {
+        return new Customer("amahoro", "Amahoro", Set.of(), 1, Set.of(), Set.of(), requests, tokens, streams);
+    }
+
+    private static Customer named(String name, int requests) {
+        return new Customer(name, name, Set.of(), 1, Set.of(), Set.of(), requests, 0, 0);
+    }
+
+    /** Entries that exchange reports and shares with a delay, and callers at random times. */
+    private static final class World {
+        private static final long TICK = 50_000;
+        private static final long LATENCY = 2_000;
+
+        private final List<String> names;
+        private final List<CustomerLimits> limits = new ArrayList<>();
+        private final List<LimitHome> homes = new ArrayList<>();
+        private final Map<String, Customer> customers;
+        private final List<Customer> callers;
+        private final Map<String, Integer> homeOf = new HashMap<>();
+        private final long[] bytes;
+        private final Random random;
+        private final PriorityQueue<Due> queue = new PriorityQueue<>();
+        private long admitted;
+        private long refused;
+        private long now;
+        private long order;
+
+        private record Due(long at, long order, Runnable work) implements Comparable<Due> {
+            @Override
+            public int compareTo(Due other) {
+                return at == other.at ? Long.compare(order, other.order) : Long.compare(at, other.at);
+            }
+        }
+
+        World(int entries, Customer customer, long seed) {
+            this(entries, Map.of(customer.name(), customer), seed);
+        }
+
+        World(int entries, Map<String, Customer> customers, long seed) {
+            this.names = IntStream.range(0, entries).mapToObj(i -> "entry-" + i).toList();
+            this.customers = customers;
+            this.callers = List.copyOf(customers.values());
+            this.bytes = new long[entries];
+            this.random = new Random(seed);
+            names.forEach(name -> limits.add(CustomerLimits.of(name, () -> entries)));
+            names.forEach(name -> homes.add(LimitHome.empty()));
+        }
+
+        void run(long micros, double perSecond, int usedEntries, boolean homesUp) {
+            long end = now + micros;
+            queue.clear();
+            IntStream.range(0, limits.size()).forEach(i -> at(random.nextLong(TICK), () -> tick(i, homesUp)));
+            at(0, () -> arrive(perSecond, usedEntries));
+            while (queue.peek().at() <= end) {
+                Due due = queue.poll();
+                now = due.at();
+                due.work().run();
+            }
+            now = end;
+        }
+
+        private void arrive(double perSecond, int usedEntries) {
+            Customer customer = callers.get(random.nextInt(callers.size()));
+            CustomerLimits entry = limits.get(random.nextInt(usedEntries));
+            Optional<Refusal> refusal = entry.admit(customer, 100, now);
+            if (refusal.isEmpty()) {
+                admitted++;
+                entry.finished(customer, 0);
+            } else {
+                refused++;
+            }
+            at((long) (-Math.log(1 - random.nextDouble()) / perSecond * SECOND), () -> arrive(perSecond, usedEntries));
+        }
+
+        private void tick(int entry, boolean homesUp) {
+            List<LimitUsage> due = limits.get(entry).due(now);
+            if (homesUp) {
+                due.forEach(usage -> report(entry, usage));
+            }
+            at(TICK, () -> tick(entry, homesUp));
+        }
+
+        private void report(int entry, LimitUsage usage) {
+            int home = homeOf.computeIfAbsent(
+                    usage.customer(),
+                    name -> names.indexOf(LimitHome.of(name, names).orElseThrow()));
+            bytes[entry] += LimitHome.EXCHANGE_BYTES;
+            bytes[home] += LimitHome.EXCHANGE_BYTES;
+            at(LATENCY, () -> {
+                LimitShare share = homes.get(home).report(customers.get(usage.customer()), usage, now);
+                at(LATENCY, () -> limits.get(entry).granted(share, now));
+            });
+        }
+
+        private void at(long delay, Runnable work) {
+            queue.add(new Due(now + delay, order++, work));
+        }
+    }
+}
