--- a/core/src/main/java/org/geraniumford/core/limits/CustomerLimits.java
+++ b/core/src/main/java/org/geraniumford/core/limits/CustomerLimits.java
@@ -89,6 +89,28 @@
                 .toList();
     }
 
+    /**
+     * Takes back a report that could not be sent; it becomes part of the next one.
+     *
+     * @param usage the report
+     */
+    public void unsent(LimitUsage usage) {
+        Optional.ofNullable(limits.get(usage.customer())).ifPresent(limit -> limit.unsent(usage));
+    }
+
+    // -- queries
+
+    /**
+     * Returns the share that holds for a customer now.
+     *
+     * @param customer the customer's name
+     * @param nowMicros the time in microseconds, of the same origin
+     * @return the share, or empty while an equal share of the limit holds
+     */
+    public Optional<LimitShare> share(String customer, long nowMicros) {
+        return Optional.ofNullable(limits.get(customer)).flatMap(limit -> limit.share(nowMicros));
+    }
+
     private static boolean unlimited(Customer customer) {
         return customer.requestsPerSecond() == 0 && customer.tokensPerSecond() == 0 && customer.maxStreams() == 0;
     }
--- a/core/src/main/java/org/geraniumford/core/limits/LimitHome.java
+++ b/core/src/main/java/org/geraniumford/core/limits/LimitHome.java
@@ -20,7 +20,10 @@
     /** The shortest time between two reports of one entry for one customer, in microseconds. */
     public static final long MIN_REPORT_MICROS = 100_000;
 
-    /** The bytes a second that a home spends on reports and shares. */
+    /** The longest time between two reports of one entry for one customer with traffic, in microseconds. */
+    public static final long MAX_REPORT_MICROS = 10_000_000;
+
+    /** The bytes a second that a home spends on reports and shares, unless {@link #MAX_REPORT_MICROS} asks for more. */
     public static final long BYTES_PER_SECOND = 5_000;
 
     /** The bytes of a report and its share on the wire, with TCP and IP. */
@@ -28,6 +31,8 @@
 
     private static final long MICROS_PER_SECOND = 1_000_000;
     private static final long KILOSECOND = 1_000;
+    private static final double WELL_FILLED = 0.75;
+    private static final double SPARE_PARTS = 3;
     private static final int EXPIRY_REPORTS = 3;
     private static final long MAX_ACCOUNTS = 100_000;
 
@@ -108,6 +113,7 @@
     }
 
     private void remember(Account account, LimitUsage usage, long nowMicros) {
+        long expiresMicros = nowMicros + EXPIRY_REPORTS * reportAfterMicros() + MICROS_PER_SECOND;
         reporters -= account.reporters.size();
         account.reporters.values().removeIf(reporter -> reporter.expiresMicros() <= nowMicros);
         double seconds = (double) usage.periodMicros() / MICROS_PER_SECOND;
@@ -117,7 +123,7 @@
                         usage.wantedRequests() / seconds,
                         usage.wantedTokens() / seconds,
                         usage.streams(),
-                        nowMicros + EXPIRY_REPORTS * reportAfterMicros() + MICROS_PER_SECOND));
+                        expiresMicros));
         reporters += account.reporters.size();
     }
 
@@ -133,8 +139,12 @@
     // -- shares
 
     private LimitShare share(Customer customer, Account account, String entry) {
-        double requests = share(customer.requestsPerSecond(), account, entry, Reporter::requests);
-        double tokens = share(customer.tokensPerSecond(), account, entry, Reporter::tokens);
+        double requests = Math.max(
+                share(customer.requestsPerSecond(), account, entry, Reporter::requests),
+                spare(customer.requestsPerSecond(), account.requests, account.reporters.size()));
+        double tokens = Math.max(
+                share(customer.tokensPerSecond(), account, entry, Reporter::tokens),
+                spare(customer.tokensPerSecond(), account.tokens, account.reporters.size()));
         int others = account.reporters.entrySet().stream()
                 .filter(other -> !other.getKey().equals(entry))
                 .mapToInt(other -> other.getValue().streams())
@@ -155,6 +165,11 @@
         return all <= limit ? limit - (all - mine) : limit * mine / all;
     }
 
+    /** Lets each entry use a few equal parts while the account is well filled, whatever its demand was before. */
+    private static double spare(double limit, RateBucket account, int reporters) {
+        return account.holds(limit * WELL_FILLED) ? Math.min(limit, limit * SPARE_PARTS / reporters) : 0;
+    }
+
     private static long blockedMicros(Customer customer, Account account) {
         long requests =
                 customer.requestsPerSecond() == 0 ? 0 : account.requests.microsUntil(0, customer.requestsPerSecond());
@@ -163,6 +178,7 @@
     }
 
     private long reportAfterMicros() {
-        return Math.max(MIN_REPORT_MICROS, reporters * EXCHANGE_BYTES * MICROS_PER_SECOND / BYTES_PER_SECOND);
+        long spread = reporters * EXCHANGE_BYTES * MICROS_PER_SECOND / BYTES_PER_SECOND;
+        return Math.min(MAX_REPORT_MICROS, Math.max(MIN_REPORT_MICROS, spread));
     }
 }
--- a/core/src/main/java/org/geraniumford/core/limits/LocalLimit.java
+++ b/core/src/main/java/org/geraniumford/core/limits/LocalLimit.java
@@ -35,7 +35,7 @@
         this.tokens = new RateBucket(customer.tokensPerSecond() * FIRST_SECONDS, nowMicros);
         this.startMicros = nowMicros;
         this.reportAtMicros = nowMicros;
-        this.reportedMicros = nowMicros - FIRST_REPORT_MICROS;
+        this.reportedMicros = nowMicros - MICROS_PER_SECOND;
     }
 
     // -- commands
@@ -94,6 +94,14 @@
         return Optional.of(usage);
     }
 
+    synchronized void unsent(LimitUsage usage) {
+        admittedRequests += usage.requests();
+        wantedRequests += usage.wantedRequests();
+        admittedTokens += usage.tokens();
+        wantedTokens += usage.wantedTokens();
+        reportedMicros -= usage.periodMicros();
+    }
+
     // -- queries
 
     synchronized boolean idle(long nowMicros) {
@@ -143,6 +151,10 @@
                 .orElse(Math.max(1, customer.maxStreams() / Math.max(1, entries)));
     }
 
+    synchronized Optional<LimitShare> share(long nowMicros) {
+        return valid(nowMicros);
+    }
+
     private Optional<LimitShare> valid(long nowMicros) {
         return share.filter(held -> nowMicros < shareUntilMicros);
     }
--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -296,4 +296,48 @@
      * @param json the process's state as a JSON object
      */
     record StatusAnswer(long id, String json) implements Message {}
+
+    // -- customers' limits
+
+    /**
+     * Tells a customer's home entry what another entry did for the customer since its last report.
+     *
+     * @param customer the customer's name
+     * @param entry the reporting entry's name
+     * @param periodMicros the time since the last report, in microseconds
+     * @param requests the requests admitted
+     * @param wantedRequests the requests asked for
+     * @param tokens the tokens admitted
+     * @param wantedTokens the tokens asked for
+     * @param streams the streams open now
+     */
+    record LimitRequest(
+            String customer,
+            String entry,
+            long periodMicros,
+            long requests,
+            long wantedRequests,
+            long tokens,
+            long wantedTokens,
+            int streams)
+            implements Message {}
+
+    /**
+     * Answers {@link LimitRequest} with what the entry may do next.
+     *
+     * @param customer the customer's name
+     * @param requestsPerKilosecond the requests in 1,000 seconds
+     * @param tokensPerSecond the tokens a second
+     * @param streams the streams that may be open
+     * @param blockedMicros how long nothing may be admitted, in microseconds
+     * @param reportAfterMicros when to report next, in microseconds
+     */
+    record LimitGrant(
+            String customer,
+            long requestsPerKilosecond,
+            long tokensPerSecond,
+            int streams,
+            long blockedMicros,
+            long reportAfterMicros)
+            implements Message {}
 }
--- a/core/src/test/java/org/geraniumford/core/limits/CustomerLimitsTest.java
+++ b/core/src/test/java/org/geraniumford/core/limits/CustomerLimitsTest.java
@@ -124,6 +124,36 @@
         assertThat(world.admitted - before).isBetween((long) (100 * 30 * 0.9), (long) (100 * 30 * 1.1));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 100, 14", "4, 100, 15", "20, 100, 16", "410, 500, 17"})
+    void shouldExceedTheLimitInAnySecondByNoMoreThanOneSecondOfItAndOneRequestAnEntry(
+            int entries, int limit, long seed) {
+        World world = new World(entries, customer(limit, 0, 0), seed);
+        world.run(60 * SECOND, limit * 5, entries, true);
+        IntStream.range(0, 60).forEach(second -> {
+            long before = world.admitted;
+            world.run(SECOND, limit * 5, entries, true);
+            assertThat(world.admitted - before).isLessThanOrEqualTo(2L * limit + entries);
+        });
+    }
+
+    @Test
+    void shouldHoldTheLimitWhenTheHomeIsLostAndTheTrafficMoves() {
+        World world = new World(10, customer(100, 0, 0), 18);
+        world.run(10 * SECOND, 300, 1, true);
+        world.run(10 * SECOND, 300, 10, false);
+        long before = world.admitted;
+        world.run(30 * SECOND, 1000, 10, false);
+        assertThat(world.admitted - before).isLessThanOrEqualTo((long) (100 * 30 * 1.1));
+    }
+
+    @Test
+    void shouldStayWithinTheControlBudgetWhenOneCustomerIsHotOnEveryEntry() {
+        World world = new World(410, customer(5000, 0, 0), 19);
+        world.run(60 * SECOND, 2900, 410, true);
+        assertThat(world.busiestBytesPerSecond(30)).isLessThan(15_000);
+    }
+
     @Test
     void shouldStayWithinTheControlBudgetAtThePlannedSize() {
         int entries = 410;
@@ -131,13 +161,7 @@
         IntStream.range(0, 7500).mapToObj(i -> "customer-" + i).forEach(name -> customers.put(name, named(name, 10)));
         World world = new World(entries, customers, 13);
         world.run(20 * SECOND, 2900, entries, true);
-        long[] before = world.bytes.clone();
-        world.run(30 * SECOND, 2900, entries, true);
-        long busiest = IntStream.range(0, entries)
-                .mapToLong(i -> world.bytes[i] - before[i])
-                .max()
-                .orElseThrow();
-        assertThat(busiest / 30).isLessThan(15_000);
+        assertThat(world.busiestBytesPerSecond(30)).isLessThan(15_000);
     }
 
     // -- data
@@ -203,6 +227,15 @@
             now = end;
         }
 
+        long busiestBytesPerSecond(int seconds) {
+            long[] before = bytes.clone();
+            run(seconds * SECOND, 2900, bytes.length, true);
+            return IntStream.range(0, bytes.length)
+                    .mapToLong(i -> (bytes[i] - before[i]) / seconds)
+                    .max()
+                    .orElseThrow();
+        }
+
         private void arrive(double perSecond, int usedEntries) {
             Customer customer = callers.get(random.nextInt(callers.size()));
             CustomerLimits entry = limits.get(random.nextInt(usedEntries));
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/limits/EntryDials.java
@@ -0,0 +1,89 @@
+package org.geraniumford.daemon.limits;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.link.Link;
+import org.geraniumford.transport.link.LinkHandler;
+import org.geraniumford.transport.link.LinkNetwork;
+import org.geraniumford.transport.log.LogEvent;
+
+/** Links to other entries, opened when first needed. Thread-safe. */
+final class EntryDials implements AutoCloseable {
+    private static final long REDIAL_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final LinkNetwork network;
+    private final BiConsumer<Link, Envelope> receiver;
+    private final Map<InetSocketAddress, Link> links = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, Long> dialledNanos = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    EntryDials(LinkNetwork network, BiConsumer<Link, Envelope> receiver) {
+        this.network = network;
+        this.receiver = receiver;
+    }
+
+    // -- commands
+
+    /** Sends a message, or dials and returns false. */
+    boolean send(InetSocketAddress address, Message message) {
+        Link link = links.get(address);
+        if (link != null && link.send(message)) {
+            return true;
+        }
+        dial(address);
+        return false;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        links.values().forEach(Link::close);
+    }
+
+    private void dial(InetSocketAddress address) {
+        long now = System.nanoTime();
+        Long before = dialledNanos.get(address);
+        if (closed || (before != null && now - before < REDIAL_NANOS)) {
+            return;
+        }
+        dialledNanos.put(address, now);
+        network.connect(address, new Handler(address)).exceptionally(failure -> {
+            LogEvent.of("entry_unreachable").with("address", address).info();
+            return null;
+        });
+    }
+
+    private final class Handler implements LinkHandler {
+        private final InetSocketAddress address;
+
+        Handler(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        @Override
+        public void opened(Link link) {
+            Link before = links.put(address, link);
+            if (before != null) {
+                before.close();
+            }
+            if (closed) {
+                link.close();
+            }
+        }
+
+        @Override
+        public void received(Link link, Envelope envelope) {
+            receiver.accept(link, envelope);
+        }
+
+        @Override
+        public void closed(Link link, boolean broken) {
+            links.remove(address, link);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/limits/LimitExchange.java
@@ -0,0 +1,236 @@
+package org.geraniumford.daemon.limits;
+
+import static java.util.Objects.requireNonNull;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.core.configuration.Customer;
+import org.geraniumford.core.limits.CustomerLimits;
+import org.geraniumford.core.limits.LimitHome;
+import org.geraniumford.core.limits.LimitShare;
+import org.geraniumford.core.limits.LimitUsage;
+import org.geraniumford.core.membership.Host;
+import org.geraniumford.core.membership.HostKind;
+import org.geraniumford.core.membership.HostState;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.duty.Duty;
+import org.geraniumford.transport.duty.DutyHandler;
+import org.geraniumford.transport.link.Link;
+import org.geraniumford.transport.link.LinkNetwork;
+
+/**
+ * Keeps customers' limits over all entries: reports what this entry admits to each customer's home entry, and is the
+ * home of some customers itself. Thread-safe.
+ */
+public final class LimitExchange implements AutoCloseable {
+    private static final int RING = 8_192;
+    private static final Duration TICK = Duration.ofMillis(50);
+
+    private final String entry;
+    private final ConfigurationHolder configurations;
+    private final Supplier<List<Host>> hosts;
+    private final CustomerLimits limits;
+    private final LimitHome home = LimitHome.empty();
+    private final EntryDials dials;
+    private final Duty<Report> duty;
+    private volatile int entries = 1;
+
+    private record Report(Link link, LimitUsage usage) {}
+
+    private LimitExchange(
+            String entry, ConfigurationHolder configurations, Supplier<List<Host>> hosts, LinkNetwork network) {
+        this.entry = entry;
+        this.configurations = configurations;
+        this.hosts = hosts;
+        this.limits = CustomerLimits.of(entry, () -> entries);
+        this.dials = new EntryDials(network, this::received);
+        this.duty = Duty.start("limits", RING, TICK, new Handler());
+    }
+
+    // -- construction
+
+    /**
+     * Starts the exchange of an entry.
+     *
+     * @param entry the entry's name, as in the platform's list
+     * @param configurations the customers' limits
+     * @param hosts the platform's list of hosts, as last read
+     * @param network opens links to other entries
+     * @return the running exchange
+     */
+    public static LimitExchange start(
+            String entry, ConfigurationHolder configurations, Supplier<List<Host>> hosts, LinkNetwork network) {
+        requireNonNull(entry, "entry is null");
+        requireNonNull(configurations, "configurations is null");
+        requireNonNull(hosts, "hosts is null");
+        return new LimitExchange(entry, configurations, hosts, requireNonNull(network, "network is null"));
+    }
+
+    // -- commands
+
+    /**
+     * Admits a request, or says why not. A request admitted must be followed by {@link #finished}.
+     *
+     * @param customer whose request it is
+     * @param estimatedTokens the tokens of the prompt and of the longest answer
+     * @return empty if admitted; otherwise the refusal, with the time to come back
+     */
+    public Optional<Refusal> admit(Customer customer, long estimatedTokens) {
+        return limits.admit(customer, estimatedTokens, nowMicros());
+    }
+
+    /**
+     * Ends a request that was admitted.
+     *
+     * @param customer whose request it was
+     * @param extraTokens the tokens used less those estimated; may be negative
+     */
+    public void finished(Customer customer, long extraTokens) {
+        limits.finished(customer, extraTokens);
+    }
+
+    /**
+     * Looks at a message that arrived on any link of this process. Never blocks.
+     *
+     * @param link where it arrived
+     * @param envelope the message
+     * @return true if it is a message about limits, which needs no other handling
+     */
+    public boolean received(Link link, Envelope envelope) {
+        if (envelope.message() instanceof Message.LimitRequest request) {
+            usage(request).ifPresent(usage -> duty.offer(new Report(link, usage)));
+            return true;
+        } else if (envelope.message() instanceof Message.LimitGrant grant) {
+            limits.granted(share(grant), nowMicros());
+            return true;
+        }
+        return false;
+    }
+
+    /** Stops the exchange; limits fall back to equal shares. */
+    @Override
+    public void close() {
+        duty.close();
+        dials.close();
+    }
+
+    // -- queries
+
+    /**
+     * Returns the share that holds for a customer now.
+     *
+     * @param customer the customer's name
+     * @return the share, or empty while an equal share of the limit holds
+     */
+    public Optional<LimitShare> share(String customer) {
+        return limits.share(customer, nowMicros());
+    }
+
+    // -- the duty
+
+    private final class Handler implements DutyHandler<Report> {
+        @Override
+        public void handle(Report report) {
+            account(report.usage()).ifPresent(share -> report.link().send(grant(share)));
+        }
+
+        @Override
+        public void tick() {
+            Map<String, InetSocketAddress> others = others();
+            List<String> names =
+                    Stream.concat(Stream.of(entry), others.keySet().stream()).toList();
+            entries = names.size();
+            limits.due(nowMicros()).forEach(usage -> send(usage, names, others));
+        }
+    }
+
+    private void send(LimitUsage usage, List<String> names, Map<String, InetSocketAddress> others) {
+        String target = LimitHome.of(usage.customer(), names).orElse(entry);
+        if (target.equals(entry)) {
+            account(usage).ifPresent(share -> limits.granted(share, nowMicros()));
+        } else if (!dials.send(others.get(target), request(usage))) {
+            limits.unsent(usage);
+        }
+    }
+
+    private Optional<LimitShare> account(LimitUsage usage) {
+        return Optional.ofNullable(configurations.current().customers().get(usage.customer()))
+                .map(customer -> home.report(customer, usage, nowMicros()));
+    }
+
+    private Map<String, InetSocketAddress> others() {
+        return hosts.get().stream()
+                .filter(host -> host.kind() == HostKind.ENTRY && host.state() == HostState.LIVE)
+                .filter(host -> !host.name().equals(entry) && host.address().lastIndexOf(':') > 0)
+                .collect(Collectors.toMap(Host::name, LimitExchange::address, (a, b) -> b));
+    }
+
+    private static InetSocketAddress address(Host host) {
+        int colon = host.address().lastIndexOf(':');
+        return new InetSocketAddress(
+                host.address().substring(0, colon),
+                Integer.parseInt(host.address().substring(colon + 1)));
+    }
+
+    // -- messages
+
+    private static Message.LimitRequest request(LimitUsage usage) {
+        return new Message.LimitRequest(
+                usage.customer(),
+                usage.entry(),
+                usage.periodMicros(),
+                usage.requests(),
+                usage.wantedRequests(),
+                usage.tokens(),
+                usage.wantedTokens(),
+                usage.streams());
+    }
+
+    private static Optional<LimitUsage> usage(Message.LimitRequest request) {
+        return request.periodMicros() < 1
+                ? Optional.empty()
+                : Optional.of(new LimitUsage(
+                        request.customer(),
+                        request.entry(),
+                        request.periodMicros(),
+                        request.requests(),
+                        request.wantedRequests(),
+                        request.tokens(),
+                        request.wantedTokens(),
+                        request.streams()));
+    }
+
+    private static Message.LimitGrant grant(LimitShare share) {
+        return new Message.LimitGrant(
+                share.customer(),
+                share.requestsPerKilosecond(),
+                share.tokensPerSecond(),
+                share.streams(),
+                share.blockedMicros(),
+                share.reportAfterMicros());
+    }
+
+    private static LimitShare share(Message.LimitGrant grant) {
+        return new LimitShare(
+                grant.customer(),
+                grant.requestsPerKilosecond(),
+                grant.tokensPerSecond(),
+                grant.streams(),
+                grant.blockedMicros(),
+                grant.reportAfterMicros());
+    }
+
+    private static long nowMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Exchanges customers' usage and shares between the entries. */
+package org.geraniumford.daemon.limits;
--- a/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
@@ -31,7 +31,9 @@
     CONFIGURATION_DELTA(42, Message.ConfigurationDelta.class),
     DRAIN(50, Message.Drain.class),
     STATUS_REQUEST(51, Message.StatusRequest.class),
-    STATUS_ANSWER(52, Message.StatusAnswer.class);
+    STATUS_ANSWER(52, Message.StatusAnswer.class),
+    LIMIT_REQUEST(60, Message.LimitRequest.class),
+    LIMIT_GRANT(61, Message.LimitGrant.class);
 
     private static final Map<Integer, MessageType> BY_CODE =
             Arrays.stream(values()).collect(Collectors.toUnmodifiableMap(MessageType::code, Function.identity()));
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.geraniumford.core.limits.LimitHome;
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.prefix.Piece;
 import org.geraniumford.core.prefix.PieceKey;
@@ -18,12 +19,18 @@
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.core.wire.TokenState;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 final class FrameCodecTest {
     private static final AttemptId ID = new AttemptId("r-1", 2);
 
+    private static final Message LIMIT_REQUEST = new Message.LimitRequest(
+            "customer-with-a-long-name", "entry-410", 1_000_000, 900, 9000, 90_000, 900_000, 64);
+    private static final Message LIMIT_GRANT =
+            new Message.LimitGrant("customer-with-a-long-name", 100_000, 1_000_000, 64, 5_000_000, 2_000_000);
+
     // -- coding
 
     static List<Message> messages() {
@@ -49,6 +56,9 @@
                 new Message.Chunk(ID, 5, List.of("a", "")),
                 new Message.Refused(
                         ID, new Refusal(Reason.QUEUE_FULL, Verdict.NOT_RUN, "no room", Duration.ofMillis(250))),
+                new Message.ConfigurationDelta(0, 9, "abc", "[+customer a]\n+weight = 2\n"),
+                LIMIT_REQUEST,
+                LIMIT_GRANT,
                 new Message.TokenAnswer(4, TokenState.CLOSED));
     }
 
@@ -59,6 +69,15 @@
         assertThat(FrameCodec.decode(FrameCodec.encode(envelope))).isEqualTo(envelope);
     }
 
+    @Test
+    void shouldFitTheBytesThatLimitsReckonWithWhenAReportAndItsShareAreSent() {
+        int tcpAndIpBytes = 2 * 40;
+        int lengths = 2 * 4;
+        int frames = FrameCodec.encode(new Envelope(1_700_000_000_000_000L, 1000, 1000, LIMIT_REQUEST)).length
+                + FrameCodec.encode(new Envelope(1_700_000_000_000_000L, 1000, 1000, LIMIT_GRANT)).length;
+        assertThat((long) frames + lengths + tcpAndIpBytes).isLessThanOrEqualTo(LimitHome.EXCHANGE_BYTES);
+    }
+
     @ParameterizedTest
     @MethodSource("messages")
     void shouldFailWithBrokenFrameWhenAnyPrefixOfAFrameIsDecoded(Message message) throws BrokenFrameException {
