--- a/daemon/src/main/java/org/geraniumford/daemon/command/StatusCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/StatusCommand.java
@@ -107,8 +107,8 @@
     }
 
     private static String state(ProcessStatus process) {
-        if (process.draining()) {
-            return "draining";
+        if (process.leaving()) {
+            return "leaving";
         }
         return process.ready() ? "ready" : "not ready";
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -12,16 +12,17 @@
 import java.time.temporal.ChronoUnit;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 import org.geraniumford.core.close.Closer;
 import org.geraniumford.core.configuration.ConfigurationHolder;
 import org.geraniumford.core.request.RequestLimits;
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
-import org.geraniumford.core.routing.RoutingPolicy;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.operator.ProcessStatus;
@@ -88,7 +89,7 @@
                 .await(GROUP_STOP_SECONDS, TimeUnit.SECONDS));
         LinkNetwork network = LinkNetwork.of(group, identity());
         EntryEnvironment environment = environments.open(configurations, network, incarnation, closer);
-        ModelShards shards = closer.add(ModelShards.start(shardParts(), incarnation));
+        ModelShards shards = closer.add(ModelShards.start(shardParts(environment.limits()), incarnation));
         SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
         EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, gateway));
         EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
@@ -108,9 +109,9 @@
                 .thenRun(this::logStart);
     }
 
-    private ModelShard.ShardParts shardParts() {
-        RequestMachine machine = RequestMachine.of(
-                RoutingPolicy.PROBE, CostModel.standard(), RetryPolicy.standard(), RequestLimits.standard());
+    private ModelShard.ShardParts shardParts(RequestLimits limits) {
+        CostModel costs = CostModel.ofPrefillRate(settings.prefillTokensPerSecond());
+        RequestMachine machine = RequestMachine.of(settings.routingPolicy(), costs, RetryPolicy.standard(), limits);
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
         return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
     }
@@ -157,7 +158,19 @@
     public boolean ready() {
         return !inFlight.draining()
                 && configurations.version() > 0
-                && peers.all().stream().anyMatch(peer -> peer.state().isPresent());
+                && !connectedHosts().isEmpty();
+    }
+
+    /**
+     * Lists the sidecars that are connected and have named their state.
+     *
+     * @return host names
+     */
+    public Set<String> connectedHosts() {
+        return peers.all().stream()
+                .filter(peer -> peer.state().isPresent())
+                .map(Peer::host)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
