Load: messages that fill whole pieces after the router frames them

Change: texts leave room for the frame, and the bound's keys are computed from the framed texts. Seen to fail: without the room the new test found 1802 tokens in place of 1800.

--- a/daemon/src/main/java/org/geraniumford/daemon/load/ChatBody.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/ChatBody.java
@@ -9,11 +9,21 @@
 final class ChatBody {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final String ROLE = "user";
+
+    /** The bytes that the router adds to a message's text. */
+    static final int FRAME_BYTES = asRouted("").length();
+
     private ChatBody() {}
 
+    /** Returns a message's text as the router splits it into pieces. */
+    static String asRouted(String content) {
+        return ROLE + ": " + content + "\n";
+    }
+
     static String json(Scenario.Traffic traffic, List<String> levels) {
         List<Map<String, String>> messages = levels.stream()
-                .map(text -> Map.of("role", "user", "content", text))
+                .map(text -> Map.of("role", ROLE, "content", text))
                 .toList();
         try {
             return MAPPER.writeValueAsString(Map.of(
--- a/daemon/src/main/java/org/geraniumford/daemon/load/PromptText.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/PromptText.java
@@ -20,11 +20,12 @@
 
     List<PieceKey> keys(Arrival arrival, int pieceTokens) {
         CacheScope scope = new CacheScope("customer-" + arrival.customer(), "weights", "");
-        return PrefixChain.of(scope, levels(arrival), pieceTokens).keys();
+        List<String> messages = levels(arrival).stream().map(ChatBody::asRouted).toList();
+        return PrefixChain.of(scope, messages, pieceTokens).keys();
     }
 
     private static String generate(Arrival.Level level) {
-        int length = level.tokens() * PrefixChain.BYTES_PER_TOKEN;
+        int length = level.tokens() * PrefixChain.BYTES_PER_TOKEN - ChatBody.FRAME_BYTES;
         String line = "Text of " + level.name() + ". ";
         return line.repeat(length / line.length() + 1).substring(0, length);
     }
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/load/ChatBodyTest.java
@@ -0,0 +1,21 @@
+package org.geraniumford.daemon.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.geraniumford.core.prefix.CacheScope;
+import org.geraniumford.core.prefix.PrefixChain;
+import org.junit.jupiter.api.Test;
+
+class ChatBodyTest {
+    @Test
+    void shouldFillWholePiecesWhenTheRouterHasFramedTheMessages() {
+        Arrival arrival = new Arrival(0, 0, List.of(new Arrival.Level("c0", 1600), new Arrival.Level("c0/q0", 200)));
+        List<String> contents = new PromptText().levels(arrival);
+        List<String> routed =
+                contents.stream().map(content -> "user: " + content + "\n").toList();
+        PrefixChain chain = PrefixChain.of(new CacheScope("customer-0", "weights", ""), routed, 800);
+        assertThat(chain.tokens()).isEqualTo(1800);
+        assertThat(chain.keys()).hasSize(3).isEqualTo(new PromptText().keys(arrival, 800));
+    }
+}
