--- a/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
@@ -28,6 +28,7 @@
                 new StatusCommand(),
                 new ExplainCommand(),
                 new DrainCommand(),
+                new LoadCommand(),
                 new SettingsCommand());
     }
 
