--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -110,8 +110,8 @@
     }
 
     private ModelShard.ShardParts shardParts(RequestLimits limits) {
-        RequestMachine machine =
-                RequestMachine.of(settings.routingPolicy(), CostModel.standard(), RetryPolicy.standard(), limits);
+        CostModel costs = CostModel.ofPrefillRate(settings.prefillTokensPerSecond());
+        RequestMachine machine = RequestMachine.of(settings.routingPolicy(), costs, RetryPolicy.standard(), limits);
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
         return new ModelShard.ShardParts(machine, specs, peers, metrics, records);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/operator/ProcessStatus.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/operator/ProcessStatus.java
@@ -3,6 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.annotation.JsonNaming;
 import java.util.List;
 
 /**
@@ -10,10 +12,10 @@
  *
  * @param process the process's name
  * @param role {@code entry} or {@code sidecar}
- * @param failureDomain its failure domain
+ * @param failureDomain its failure domain; empty if not known
  * @param incarnation its start, in microseconds since the epoch
  * @param ready whether it takes new work
- * @param draining whether it has been told to take no new work
+ * @param leaving whether it has been told to take no new work
  * @param configurationVersion the configuration version in force; 0 before the first one
  * @param running the number of requests that have not ended
  * @param waiting the number of requests that wait for a backend server
@@ -21,13 +23,14 @@
  * @param hosts what it knows of other hosts
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
+@JsonNaming(PropertyNamingStrategies.SnakeCaseStrategy.class)
 public record ProcessStatus(
         String process,
         String role,
         String failureDomain,
         long incarnation,
         boolean ready,
-        boolean draining,
+        boolean leaving,
         long configurationVersion,
         int running,
         int waiting,
@@ -37,7 +40,7 @@
     public ProcessStatus {
         requireNonNull(process, "process is null");
         requireNonNull(role, "role is null");
-        requireNonNull(failureDomain, "failureDomain is null");
+        failureDomain = failureDomain == null ? "" : failureDomain;
         hosts = hosts == null ? List.of() : List.copyOf(hosts);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/EntrySettings.java
@@ -18,10 +18,11 @@
  * @param platform the platform's base address
  * @param seeds link addresses of peers to ask at the start
  * @param pieceTokens the engines' piece size in tokens
+ * @param routingPolicy how the host of a model request is found
+ * @param prefillTokensPerSecond the prompt tokens that an engine computes a second
  * @param callerLimits what is accepted from callers
  * @param security how links are authenticated and encrypted
  * @param drainTimeout how long a stop waits for running requests
- * @param routingPolicy how the backend server of a request is chosen
  */
 public record EntrySettings(
         String processId,
@@ -32,17 +33,21 @@
         URI platform,
         List<InetSocketAddress> seeds,
         int pieceTokens,
+        RoutingPolicy routingPolicy,
+        int prefillTokensPerSecond,
         HttpLimits callerLimits,
         LinkSecurity security,
-        Duration drainTimeout,
-        RoutingPolicy routingPolicy) {
+        Duration drainTimeout) {
+    /** The prompt tokens that an ordinary engine computes a second. */
+    public static final int STANDARD_PREFILL_TOKENS_PER_SECOND = 10_000;
+
     /** Copies the list. */
     public EntrySettings {
         seeds = List.copyOf(seeds);
     }
 
     /**
-     * Creates settings with the standard limits, plain links, the standard drain timeout and routing by probes.
+     * Creates settings with the standard routing and limits, plain links and the standard drain timeout.
      *
      * @param processId the process's unique name
      * @param failureDomain the failure domain of its host
@@ -71,9 +76,10 @@
                 platform,
                 seeds,
                 pieceTokens,
+                RoutingPolicy.PROBE,
+                STANDARD_PREFILL_TOKENS_PER_SECOND,
                 HttpLimits.standard(),
                 LinkSecurity.none(),
-                SidecarSettings.STANDARD_DRAIN_TIMEOUT,
-                RoutingPolicy.PROBE);
+                SidecarSettings.STANDARD_DRAIN_TIMEOUT);
     }
 }
--- a/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
@@ -59,9 +59,10 @@
         assertThat(settings.platform()).isEqualTo(URI.create("http://127.0.0.1:9000"));
         assertThat(settings.seeds()).hasSize(2);
         assertThat(settings.pieceTokens()).isEqualTo(4000);
+        assertThat(settings.routingPolicy()).isEqualTo(RoutingPolicy.PROBE);
+        assertThat(settings.prefillTokensPerSecond()).isEqualTo(10_000);
         assertThat(settings.drainTimeout()).isEqualTo(Duration.ofMinutes(5));
         assertThat(settings.security()).isEqualTo(LinkSecurity.none());
-        assertThat(settings.routingPolicy()).isEqualTo(RoutingPolicy.PROBE);
     }
 
     @Test
@@ -78,7 +79,7 @@
                         "entry.ini: [platform] address: not set; allowed: http://HOST:PORT or https://HOST:PORT",
                         "entry.ini:9: [platform] addres: unknown key; allowed keys: address",
                         "entry.ini:11: [pears] seeds: unknown section; allowed sections: process, listen, engine,"
-                                + " limits, routing, platform, peers, tls, shutdown");
+                                + " routing, limits, platform, peers, tls, shutdown");
     }
 
     @ParameterizedTest
