--- a/daemon/src/main/java/org/geraniumford/daemon/command/LoadCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/LoadCommand.java
@@ -82,12 +82,16 @@
     }
 
     private static LoadResult send(Scenario scenario, OptionSet options, Console console) throws CommandException {
-        List<URI> entries = options.valuesOf(ENTRY).stream().map(URI.class::cast).toList();
+        List<URI> entries =
+                options.valuesOf(ENTRY).stream().map(URI.class::cast).toList();
         long seed = (Long) options.valueOf(SEED);
         List<Arrival> trace = Trace.of(scenario, seed);
         try {
-            List<Outcome> outcomes =
-                    LoadRun.run(scenario, new LoadTarget(entries), trace, line -> console.err().println(line));
+            List<Outcome> outcomes = LoadRun.run(
+                    scenario,
+                    new LoadTarget(entries),
+                    trace,
+                    line -> console.err().println(line));
             return LoadResult.of(scenario, (String) options.valueOf(LABEL), seed, trace, outcomes);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
