Test that a frozen sidecar gets no new requests

Cause: on a scratch copy three mutations of the entry were tried. Ending the count of requests before the answer is written failed the drain test, and forgetting the verdicts of earlier attempts of a call failed the error contract. Suspecting no host failed nothing: the one request after the freeze followed the hint. Change: ten requests with other prompts follow; with that mutation the test now fails, without it SlowPeersTest and EntryDaemonTest passed (12 cases).

--- a/daemon/src/test/java/org/geraniumford/daemon/entry/SlowPeersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/SlowPeersTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -54,7 +55,10 @@
         HttpResponse<String> answer = response.join();
         assertThat(answer.body()).contains("t0 t1 t2 t3 t4 t5 t6 t7 ").contains("\"backend\":\"runner-2\"");
         assertThat(frozen.got(Message.Ping.class)).isTrue();
-        assertThat(fixture.send(fixture.chat(",\"max_tokens\":1")).body()).contains("\"backend\":\"runner-2\"");
+        IntStream.range(0, 10)
+                .mapToObj(SlowPeersTest::prompt)
+                .map(body -> fixture.request("/v1/completions").POST(body).build())
+                .forEach(request -> assertThat(fixture.send(request).body()).contains("\"backend\":\"runner-2\""));
         assertThat(submits).hasValue(1);
     }
 
@@ -83,6 +87,11 @@
         assertThat(sent.get()).isLessThan(TOKENS);
     }
 
+    private static HttpRequest.BodyPublisher prompt(int number) {
+        return HttpRequest.BodyPublishers.ofString(
+                "{\"model\":\"drafts\",\"max_tokens\":1,\"prompt\":\"prompt " + number + "\"}");
+    }
+
     private static void send(Link link, AttemptId id, AtomicInteger sent, int upTo) {
         int from = sent.getAndSet(Math.min(upTo, TOKENS));
         IntStream.range(from, sent.get())
