--- a/daemon/src/main/java/org/geraniumford/daemon/command/CommandLine.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/CommandLine.java
@@ -86,10 +86,13 @@
         return command.run(options, console);
     }
 
+    /** Parses the arguments, and converts every value at once, so that a wrong one is reported before work begins. */
     private static OptionSet parse(Command command, OptionParser parser, List<String> arguments)
             throws CommandException {
         try {
-            return parser.parse(arguments.toArray(String[]::new));
+            OptionSet options = parser.parse(arguments.toArray(String[]::new));
+            options.specs().forEach(options::valuesOf);
+            return options;
         } catch (OptionException e) {
             throw CommandException.usage(command.name() + ": " + e.getMessage() + "; see --help");
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/command/LoadCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/LoadCommand.java
@@ -70,10 +70,11 @@
             console.out().print(LoadConfiguration.text(scenario));
             return ExitCode.OK;
         }
+        long seed = (Long) options.valueOf(SEED);
         if (!options.has(ENTRY)) {
             throw CommandException.usage("load: --entry is missing; see --help");
         }
-        LoadResult result = send(scenario, options, console);
+        LoadResult result = send(scenario, seed, options, console);
         console.out().println(options.has(JSON) ? LoadReport.json(result) : LoadReport.table(result));
         if (options.has(RESULT)) {
             write(Path.of((String) options.valueOf(RESULT)), result);
@@ -81,10 +82,10 @@
         return ExitCode.OK;
     }
 
-    private static LoadResult send(Scenario scenario, OptionSet options, Console console) throws CommandException {
+    private static LoadResult send(Scenario scenario, long seed, OptionSet options, Console console)
+            throws CommandException {
         List<URI> entries =
                 options.valuesOf(ENTRY).stream().map(URI.class::cast).toList();
-        long seed = (Long) options.valueOf(SEED);
         List<Arrival> trace = Trace.of(scenario, seed);
         try {
             List<Outcome> outcomes = LoadRun.run(
