--- a/core/src/main/java/org/geraniumford/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/geraniumford/core/admission/AdmissionQueue.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.geraniumford.core.admission.CustomerQueue.Waiting;
 import org.geraniumford.core.cache.CacheView;
 import org.geraniumford.core.verdict.Reason;
@@ -100,11 +99,17 @@
      * @return the refusals
      */
     public List<AdmissionAction> expire(long now) {
-        Refusal refusal = Refusal.notRun(Reason.DEADLINE_PASSED, "the request waited until its deadline passed")
+        List<AttemptId> late = waiting.values().stream()
+                .map(Waiting::request)
+                .filter(request -> request.deadlineNanos() - now < 0)
+                .map(AdmissionRequest::id)
+                .toList();
+        return late.isEmpty() ? List.of() : refuse(late, lateRefusal(now));
+    }
+
+    private Refusal lateRefusal(long now) {
+        return Refusal.notRun(Reason.DEADLINE_PASSED, "the request waited until its deadline passed")
                 .withRetryAfter(retryAfter(waitNanos(now)));
-        return refuse(waiting.values().stream()
-                .filter(next -> next.request().deadlineNanos() - now < 0)
-                .map(next -> new AdmissionAction.Refuse(next.request().id(), refusal)));
     }
 
     /**
@@ -114,7 +119,7 @@
      * @return the refusals
      */
     public List<AdmissionAction> refuseAll(Refusal refusal) {
-        return refuse(waiting.keySet().stream().map(id -> new AdmissionAction.Refuse(id, refusal)));
+        return refuse(List.copyOf(waiting.keySet()), refusal);
     }
 
     /**
@@ -304,11 +309,11 @@
                         .withRetryAfter(retryAfter(waitNanos(now))));
     }
 
-    private List<AdmissionAction> refuse(Stream<AdmissionAction.Refuse> refusals) {
-        List<AdmissionAction> refused =
-                refusals.map(AdmissionAction.class::cast).toList();
-        refused.forEach(action -> dequeue(waiting.get(action.id())));
-        return refused;
+    private List<AdmissionAction> refuse(List<AttemptId> ids, Refusal refusal) {
+        ids.forEach(id -> dequeue(waiting.get(id)));
+        return ids.stream()
+                .<AdmissionAction>map(id -> new AdmissionAction.Refuse(id, refusal))
+                .toList();
     }
 
     private void dequeue(Waiting gone) {
