Links authenticated and encrypted by TLS, reloaded without a restart

Cause: settings took certificates, but links stayed plain TCP.

Ruled out: checking the address against the certificate (hosts are replaced with new addresses; the private authority is the trust); reading files on a network thread (a duty looks once a second).

Change: LinkTls (mutual authentication, replaced files for later connections, earlier ones kept if the new ones are broken) as an optional part of LinkNetwork; a link opens only after the handshake; both daemons take it from their settings; settings check that the files can be used.

--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -87,7 +87,8 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
         closer.add(() -> group.shutdownGracefully(0, GROUP_STOP_SECONDS, TimeUnit.SECONDS)
                 .await(GROUP_STOP_SECONDS, TimeUnit.SECONDS));
-        LinkNetwork network = LinkNetwork.of(group, identity());
+        LinkNetwork network =
+                LinkNetwork.of(group, identity(), settings.security().open(closer));
         EntryEnvironment environment = environments.open(configurations, network, incarnation, closer);
         ModelShards shards = closer.add(ModelShards.start(shardParts(environment.limits()), incarnation));
         SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/LinkSecurity.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/LinkSecurity.java
@@ -3,6 +3,10 @@
 import static java.util.Objects.requireNonNull;
 
 import java.nio.file.Path;
+import java.util.Optional;
+import org.geraniumford.core.close.Closer;
+import org.geraniumford.transport.link.LinkTls;
+import org.geraniumford.transport.link.TlsFiles;
 
 /**
  * How links are authenticated and encrypted.
@@ -32,4 +36,21 @@
     public static LinkSecurity none() {
         return new LinkSecurity(true, NO_FILE, NO_FILE, NO_FILE);
     }
+
+    // -- queries
+
+    /**
+     * Starts what secures links.
+     *
+     * @param closer takes what must be closed with the process
+     * @return empty if links are plain
+     * @throws IllegalArgumentException if the files cannot be used
+     */
+    public Optional<LinkTls> open(Closer closer) {
+        return insecure ? Optional.empty() : Optional.of(closer.add(LinkTls.start(files())));
+    }
+
+    TlsFiles files() {
+        return new TlsFiles(certificate, privateKey, authorities);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SharedSettings.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SharedSettings.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.geraniumford.core.ini.IniProblem;
+import org.geraniumford.transport.link.LinkTls;
 
 /** The settings that every daemon has. */
 final class SharedSettings {
@@ -88,7 +89,10 @@
     /** Returns what is wrong between the shared settings. */
     static Stream<IniProblem> problems(SettingValues values, Path folder) {
         if (!values.value(INSECURE)) {
-            return FILES.stream().flatMap(setting -> fileProblem(values, setting, folder));
+            List<IniProblem> files = FILES.stream()
+                    .flatMap(setting -> fileProblem(values, setting, folder))
+                    .toList();
+            return files.isEmpty() ? contentProblem(values, folder) : files.stream();
         }
         return values.value(LINK).getAddress().isLoopbackAddress()
                 ? Stream.empty()
@@ -98,6 +102,18 @@
                                 + values.value(LINK).getAddress().getHostAddress()));
     }
 
+    private static Stream<IniProblem> contentProblem(SettingValues values, Path folder) {
+        try {
+            LinkTls.of(security(values, folder).files());
+            return Stream.empty();
+        } catch (IllegalArgumentException e) {
+            return Stream.of(values.problem(
+                    CERTIFICATE,
+                    "cannot use the certificate, key and authorities: "
+                            + e.getMessage().lines().findFirst().orElse("")));
+        }
+    }
+
     private static Stream<IniProblem> fileProblem(SettingValues values, Setting<Path> setting, Path folder) {
         Path file = values.value(setting);
         if (file.toString().isEmpty()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
@@ -60,7 +60,8 @@
         EventLoopGroup group = parts.network();
         AsyncHttpClient http = parts.http();
         SidecarDuty handler = parts.handler(group, http, metrics);
-        LinkNetwork network = LinkNetwork.of(group, parts.linkIdentity());
+        LinkNetwork network =
+                LinkNetwork.of(group, parts.linkIdentity(), settings.security().open(closer));
         PlatformClient platform = PlatformClient.of(settings.platform(), http);
         ConfigurationSync sync = parts.follow(platform, network);
         HostDirectory hosts = parts.followHostList(platform);
--- a/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/settings/SettingsLoaderTest.java
@@ -132,6 +132,19 @@
                                 + " address");
     }
 
+    @Test
+    void shouldReportTheCertificateWhenItsFileHoldsNone() throws Exception {
+        for (String name : List.of("own.pem", "own.key", "ca.pem")) {
+            Files.writeString(folder.resolve(name), "not a PEM file");
+        }
+        String secure =
+                ENTRY.replace("insecure = true", "certificate = own.pem\nprivate_key = own.key\nauthorities = ca.pem");
+        assertThat(problems(secure))
+                .singleElement()
+                .asString()
+                .startsWith("entry.ini:13: [tls] certificate: cannot use the certificate, key and authorities:");
+    }
+
     @Test
     void shouldNameTheFileWhenItDoesNotExist() {
         Path none = folder.resolve("none.ini");
--- a/transport/src/main/java/org/geraniumford/transport/link/LinkChannelHandler.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkChannelHandler.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslHandshakeCompletionEvent;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.transport.log.LogEvent;
 
@@ -24,6 +26,21 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
+        if (context.pipeline().get(SslHandler.class) == null) {
+            open(context);
+        }
+    }
+
+    /** Opens an encrypted link once both ends are authenticated. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof SslHandshakeCompletionEvent handshake && handshake.isSuccess()) {
+            open(context);
+        }
+        context.fireUserEventTriggered(event);
+    }
+
+    private void open(ChannelHandlerContext context) {
         link = new Link(context.channel(), identity);
         link.send(identity.hello());
         handler.opened(link);
--- a/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
@@ -16,8 +16,10 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.ssl.SslHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /** Opens and accepts links for one process. */
@@ -28,23 +30,39 @@
 
     private final EventLoopGroup group;
     private final LinkIdentity identity;
+    private final Optional<LinkTls> tls;
 
-    private LinkNetwork(EventLoopGroup group, LinkIdentity identity) {
+    private LinkNetwork(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls) {
         this.group = group;
         this.identity = identity;
+        this.tls = tls;
     }
 
     // -- construction
 
     /**
-     * Creates a network.
+     * Creates a network of plain connections.
      *
      * @param group the network threads; closed by their owner
      * @param identity what the process says about itself
      * @return a network without connections
      */
     public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity) {
-        return new LinkNetwork(requireNonNull(group, "group is null"), requireNonNull(identity, "identity is null"));
+        return of(group, identity, Optional.empty());
+    }
+
+    /**
+     * Creates a network.
+     *
+     * @param group the network threads; closed by their owner
+     * @param identity what the process says about itself
+     * @param tls authenticates and encrypts the connections; empty for plain ones
+     * @return a network without connections
+     */
+    public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls) {
+        requireNonNull(group, "group is null");
+        requireNonNull(identity, "identity is null");
+        return new LinkNetwork(group, identity, requireNonNull(tls, "tls is null"));
     }
 
     // -- commands
@@ -62,7 +80,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(initializer(handler));
+                .childHandler(initializer(handler, true));
         return completion(bootstrap.bind(address)).thenApply(LinkListener::new);
     }
 
@@ -71,7 +89,7 @@
      *
      * @param address the peer's link address
      * @param handler receives what happens on the link
-     * @return done once connected, or the failure to connect
+     * @return done once connected and authenticated, or the failure
      */
     public CompletableFuture<Void> connect(InetSocketAddress address, LinkHandler handler) {
         Bootstrap bootstrap = new Bootstrap()
@@ -79,15 +97,16 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-                .handler(initializer(handler));
-        return completion(bootstrap.connect(address)).thenAccept(channel -> {});
+                .handler(initializer(handler, false));
+        return completion(bootstrap.connect(address)).thenCompose(LinkNetwork::authenticated);
     }
 
-    private ChannelInitializer<SocketChannel> initializer(LinkHandler handler) {
+    private ChannelInitializer<SocketChannel> initializer(LinkHandler handler, boolean server) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 ChannelPipeline pipeline = channel.pipeline();
+                tls.ifPresent(source -> pipeline.addLast(source.handler(channel, server)));
                 pipeline.addLast(new FlushConsolidationHandler(FLUSH_AFTER, true));
                 pipeline.addLast(new LengthFieldBasedFrameDecoder(
                         FrameCodec.MAX_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
@@ -97,6 +116,23 @@
         };
     }
 
+    private static CompletableFuture<Void> authenticated(Channel channel) {
+        CompletableFuture<Void> completion = new CompletableFuture<>();
+        SslHandler handler = channel.pipeline().get(SslHandler.class);
+        if (handler == null) {
+            completion.complete(null);
+        } else {
+            handler.handshakeFuture().addListener(done -> {
+                if (done.isSuccess()) {
+                    completion.complete(null);
+                } else {
+                    completion.completeExceptionally(done.cause());
+                }
+            });
+        }
+        return completion;
+    }
+
     private static CompletableFuture<Channel> completion(ChannelFuture future) {
         CompletableFuture<Channel> completion = new CompletableFuture<>();
         future.addListener(done -> {
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkTls.java
@@ -0,0 +1,138 @@
+package org.geraniumford.transport.link;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.Channel;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslHandler;
+import java.time.Duration;
+import java.util.List;
+import javax.net.ssl.SSLException;
+import org.geraniumford.transport.duty.Duty;
+import org.geraniumford.transport.duty.DutyHandler;
+import org.geraniumford.transport.log.LogEvent;
+
+/**
+ * Authenticates and encrypts links in both directions. A peer is trusted if one of the authorities signed its
+ * certificate; its address is not compared with the certificate. Replaced files are taken up for later connections.
+ * Thread-safe.
+ */
+public final class LinkTls implements AutoCloseable {
+    private static final Duration CHECK_INTERVAL = Duration.ofSeconds(1);
+    private static final int RING = 2;
+
+    private final TlsFiles files;
+    private volatile Contexts contexts;
+    private volatile List<Long> checkedStamp;
+    private volatile Duty<Boolean> duty;
+
+    /** What new connections use, on either side. */
+    private record Contexts(SslContext server, SslContext client) {
+        static Contexts of(TlsFiles files) throws SSLException {
+            SslContext server = SslContextBuilder.forServer(files.certificateFile(), files.privateKeyFile())
+                    .trustManager(files.authoritiesFile())
+                    .clientAuth(ClientAuth.REQUIRE)
+                    .build();
+            SslContext client = SslContextBuilder.forClient()
+                    .keyManager(files.certificateFile(), files.privateKeyFile())
+                    .trustManager(files.authoritiesFile())
+                    .endpointIdentificationAlgorithm(null)
+                    .build();
+            return new Contexts(server, client);
+        }
+    }
+
+    private LinkTls(TlsFiles files, Contexts contexts, List<Long> checkedStamp) {
+        this.files = files;
+        this.contexts = contexts;
+        this.checkedStamp = checkedStamp;
+    }
+
+    // -- construction
+
+    /**
+     * Reads the files, and looks for replaced ones from then on.
+     *
+     * @param files the certificate, key and authorities
+     * @return a source of encrypted connections
+     * @throws IllegalArgumentException if the files cannot be used; the message says why
+     */
+    public static LinkTls start(TlsFiles files) {
+        LinkTls tls = of(files);
+        tls.duty = Duty.start("tls", RING, CHECK_INTERVAL, new DutyHandler<>() {
+            @Override
+            public void handle(Boolean event) {}
+
+            @Override
+            public void tick() {
+                tls.reload();
+            }
+        });
+        return tls;
+    }
+
+    /**
+     * Reads the files once.
+     *
+     * @param files the certificate, key and authorities
+     * @return a source of encrypted connections that changes by {@link #reload} only
+     * @throws IllegalArgumentException if the files cannot be used; the message says why
+     */
+    public static LinkTls of(TlsFiles files) {
+        requireNonNull(files, "files is null");
+        List<Long> stamp = files.stamp();
+        try {
+            return new LinkTls(files, Contexts.of(files), stamp);
+        } catch (SSLException | RuntimeException e) {
+            throw new IllegalArgumentException(rootMessage(e), e);
+        }
+    }
+
+    // -- commands
+
+    /**
+     * Takes up replaced files. If they cannot be used, the earlier ones stay in force.
+     *
+     * @return true if replaced files are in force now
+     */
+    public boolean reload() {
+        List<Long> stamp = files.stamp();
+        if (stamp.equals(checkedStamp)) {
+            return false;
+        }
+        checkedStamp = stamp;
+        try {
+            contexts = Contexts.of(files);
+            LogEvent.of("tls_reloaded").with("certificate", files.certificate()).info();
+            return true;
+        } catch (SSLException | RuntimeException e) {
+            LogEvent.of("tls_reload_failed")
+                    .with("certificate", files.certificate())
+                    .with("message", rootMessage(e))
+                    .warn();
+            return false;
+        }
+    }
+
+    /** Stops looking for replaced files; open connections stay open. */
+    @Override
+    public void close() {
+        if (duty != null) {
+            duty.close();
+        }
+    }
+
+    // -- queries
+
+    SslHandler handler(Channel channel, boolean server) {
+        SslContext context = server ? contexts.server() : contexts.client();
+        return context.newHandler(channel.alloc());
+    }
+
+    private static String rootMessage(Throwable failure) {
+        Throwable cause = failure.getCause();
+        return cause == null ? String.valueOf(failure.getMessage()) : rootMessage(cause);
+    }
+}
