--- a/core/src/main/java/org/geraniumford/core/routing/Chooser.java
+++ b/core/src/main/java/org/geraniumford/core/routing/Chooser.java
@@ -37,28 +37,17 @@
                 .filter(candidate -> stays(answers.get(candidate.backend().host())))
                 .map(candidate -> plainOffer(query, candidate, answers, asked))
                 .toList();
-        List<Offer> free = plain.stream()
+        Optional<Offer> fullest = plain.stream()
                 .filter(offer -> !costs.saturated(offer.waitMicros()))
-                .toList();
-        Optional<Offer> fullest = free.stream().max(Comparator.comparingInt(Offer::pendingPieces));
-        boolean homeIsFree = free.stream().anyMatch(offer -> offer.source() != Candidate.Source.SPARE);
+                .max(Comparator.comparingInt(Offer::pendingPieces));
+        boolean homeTakesMore = plain.stream()
+                .anyMatch(offer -> offer.source() == Candidate.Source.PREFIX && !costs.saturated(offer.waitMicros()));
         return plain.stream()
-                .map(offer -> withDuplication(offer, duplicated(query, offer, fullest, homeIsFree)))
+                .map(offer -> withDuplication(query, offer, fullest, homeTakesMore))
                 .sorted(Comparator.comparingLong(Offer::costMicros))
                 .toList();
     }
 
-    /** Counts the tokens that are held elsewhere, or will be computed again where later requests look for them. */
-    private static long duplicated(RouteQuery query, Offer offer, Optional<Offer> fullest, boolean homeIsFree) {
-        long missed = query.tokensFrom(offer.pendingPieces());
-        if (offer.source() == Candidate.Source.SPARE && homeIsFree) {
-            return missed;
-        }
-        return fullest.map(full -> missed - query.tokensFrom(full.pendingPieces()))
-                .filter(tokens -> tokens > 0)
-                .orElse(0L);
-    }
-
     private static boolean stays(Message.ProbeAnswer answer) {
         return answer == null || (!answer.leaving() && answer.backendIncarnation() != 0);
     }
@@ -99,7 +88,18 @@
         return costs.prefillMicros(missed + computedByOthers * costs.pendingShare());
     }
 
-    private Offer withDuplication(Offer offer, long duplicated) {
+    /**
+     * Adds the penalty for tokens that would be computed again: by copying what another candidate holds, or by
+     * computing a shared prefix on a host where later requests do not look for it.
+     */
+    private Offer withDuplication(RouteQuery query, Offer offer, Optional<Offer> fullest, boolean homeTakesMore) {
+        long copied = fullest.map(
+                        full -> query.tokensFrom(offer.pendingPieces()) - query.tokensFrom(full.pendingPieces()))
+                .orElse(0L);
+        long misplaced = offer.source() == Candidate.Source.SPARE && homeTakesMore
+                ? query.tokensFrom(offer.pendingPieces()) - query.tokensFrom(query.sharedPieces())
+                : 0;
+        long tokens = Math.max(0, Math.max(copied, misplaced));
         return new Offer(
                 offer.host(),
                 offer.source(),
@@ -109,6 +109,6 @@
                 offer.waitMicros(),
                 offer.prefillMicros(),
                 offer.distanceMicros(),
-                costs.prefillMicros(duplicated * costs.duplicationShare()));
+                costs.prefillMicros(tokens * costs.duplicationShare()));
     }
 }
