--- a/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/Commands.java
@@ -25,6 +25,7 @@
                         "Stands in front of one backend server on its host.",
                         SidecarSettings::drainTimeout,
                         settings -> SidecarDaemon.start(settings).thenApply(RunningSidecar::new)),
+                new ConfigCommand(),
                 new StatusCommand(),
                 new ExplainCommand(),
                 new DrainCommand(),
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/ConfigurationFolder.java
@@ -0,0 +1,39 @@
+package org.geraniumford.daemon.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.geraniumford.core.configuration.ConfigurationFile;
+
+/** Reads the operators' folder of configuration files. */
+public final class ConfigurationFolder {
+    private static final String ENDING = ".ini";
+
+    private ConfigurationFolder() {}
+
+    // -- queries
+
+    /**
+     * Reads every configuration file of a folder.
+     *
+     * @param folder the folder; files with other endings than {@code .ini} are passed over
+     * @return the files in the order of their names
+     * @throws IOException if the folder or a file cannot be read
+     */
+    public static List<ConfigurationFile> read(Path folder) throws IOException {
+        List<Path> paths;
+        try (Stream<Path> listed = Files.list(folder)) {
+            paths = listed.filter(path -> path.toString().endsWith(ENDING))
+                    .sorted()
+                    .toList();
+        }
+        List<ConfigurationFile> files = new ArrayList<>();
+        for (Path path : paths) {
+            files.add(ConfigurationFile.of(path.getFileName().toString(), Files.readAllBytes(path)));
+        }
+        return List.copyOf(files);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/ConfigurationReport.java
@@ -0,0 +1,115 @@
+package org.geraniumford.daemon.command;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeSet;
+import java.util.UUID;
+import org.geraniumford.core.configuration.ConfigurationFile;
+import org.geraniumford.core.configuration.ConfigurationHead;
+import org.geraniumford.core.configuration.ConfigurationParser;
+import org.geraniumford.core.configuration.ConfigurationProblem;
+import org.geraniumford.core.configuration.FolderManifest;
+import org.geraniumford.core.configuration.FolderMerge;
+import org.geraniumford.core.configuration.ParsedConfiguration;
+import org.geraniumford.core.configuration.Publication;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.daemon.configuration.ConfigurationPublisher;
+
+/** Does the work of the configuration commands and prints what came of it. */
+final class ConfigurationReport {
+    private final Console console;
+
+    ConfigurationReport(Console console) {
+        this.console = console;
+    }
+
+    // -- commands
+
+    ExitCode check(List<ConfigurationFile> files) {
+        if (ConfigurationParser.parse(1, FolderMerge.ofAll(files)) instanceof ParsedConfiguration.Rejected rejected) {
+            return rejected(rejected.problems());
+        }
+        console.out().println("ok: " + files.size() + " files");
+        return ExitCode.OK;
+    }
+
+    ExitCode diff(ConfigurationPublisher publisher, List<ConfigurationFile> files) {
+        Optional<ConfigurationHead> head = publisher.head().join();
+        SortedMap<String, String> applied = head.flatMap(
+                        known -> publisher.manifest(known).join())
+                .orElse(FolderManifest.empty())
+                .digests();
+        SortedMap<String, String> local = FolderManifest.ofAll(files).digests();
+        TreeSet<String> names = new TreeSet<>(applied.keySet());
+        names.addAll(local.keySet());
+        console.out()
+                .println("in force: version "
+                        + head.map(ConfigurationHead::version).orElse(0L));
+        names.stream()
+                .map(name -> change(name, applied, local))
+                .flatMap(Optional::stream)
+                .forEach(console.out()::println);
+        return ExitCode.OK;
+    }
+
+    private static Optional<String> change(String name, Map<String, String> applied, Map<String, String> local) {
+        if (!applied.containsKey(name)) {
+            return Optional.of("added    " + name);
+        } else if (!local.containsKey(name)) {
+            return Optional.of("removed  " + name);
+        }
+        return applied.get(name).equals(local.get(name)) ? Optional.empty() : Optional.of("changed  " + name);
+    }
+
+    ExitCode apply(ConfigurationPublisher publisher, List<ConfigurationFile> files, Optional<Long> base) {
+        String commitId = UUID.randomUUID().toString();
+        Publication.Outcome outcome = publisher.apply(files, base, commitId).join();
+        if (outcome instanceof Publication.Outcome.Applied applied) {
+            console.out().println("applied: version " + applied.version() + ", commit " + commitId);
+            return ExitCode.OK;
+        } else if (outcome instanceof Publication.Outcome.Unchanged unchanged) {
+            console.out().println("unchanged: version " + unchanged.version() + " is the same");
+            return ExitCode.OK;
+        } else if (outcome instanceof Publication.Outcome.Rejected rejected) {
+            return rejected(rejected.problems());
+        } else if (outcome instanceof Publication.Outcome.LostRace lost) {
+            return failed("nothing was applied: version " + lost.version() + " came first; these files differ: "
+                    + String.join(", ", lost.files()));
+        }
+        Refusal refusal = ((Publication.Outcome.Failed) outcome).refusal();
+        return failed("the platform's store failed (" + refusal.reason().label() + ", "
+                + refusal.verdict().label() + "); look for commit " + commitId + " in config history");
+    }
+
+    ExitCode show(ConfigurationPublisher publisher, Optional<Long> version) {
+        Optional<ConfigurationHead> head = version.isPresent()
+                ? publisher.version(version.get()).join()
+                : publisher.head().join();
+        Optional<String> text = head.flatMap(known -> publisher.text(known).join());
+        text.ifPresent(console.out()::print);
+        return text.isPresent() ? ExitCode.OK : failed("there is no such version");
+    }
+
+    ExitCode history(ConfigurationPublisher publisher, int limit) {
+        long newest = publisher.head().join().map(ConfigurationHead::version).orElse(0L);
+        Table table = Table.of("VERSION", "COMMIT", "DIGEST");
+        publisher
+                .history(Math.max(0, newest - limit), limit)
+                .join()
+                .forEach(head -> table.row(head.version(), head.commitId(), head.digest()));
+        console.out().println(table.render());
+        return ExitCode.OK;
+    }
+
+    private ExitCode rejected(List<ConfigurationProblem> problems) {
+        problems.forEach(problem -> console.err().println(problem));
+        return failed("nothing was applied: " + problems.size() + " problems");
+    }
+
+    private ExitCode failed(String message) {
+        console.err().println("geraniumford: config: " + message);
+        return ExitCode.FAILED;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/operator/OperatingPageTest.java
@@ -0,0 +1,38 @@
+package org.geraniumford.daemon.operator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.transport.metrics.ReasonCounters;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class OperatingPageTest {
+    private static final Path PAGE = Path.of("..", "docs", "OPERATING.md");
+
+    @ParameterizedTest
+    @EnumSource(Reason.class)
+    void shouldHaveARowAndBothCountersWhenAReasonExists(Reason reason) throws IOException {
+        SimpleMeterRegistry registry = new SimpleMeterRegistry();
+        ReasonCounters counters = ReasonCounters.of(registry);
+        counters.refused(reason);
+        counters.retried(reason);
+        assertThat(Files.readAllLines(PAGE))
+                .filteredOn(line -> line.startsWith("| `" + reason.label() + "` | " + reason.status() + " |"))
+                .hasSize(1);
+        assertThat(registry.get(ReasonCounters.REFUSALS)
+                        .tag("reason", reason.label())
+                        .counter()
+                        .count())
+                .isEqualTo(1);
+        assertThat(registry.get(ReasonCounters.RETRIES)
+                        .tag("reason", reason.label())
+                        .counter()
+                        .count())
+                .isEqualTo(1);
+    }
+}
--- a/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
+++ b/trials/src/main/java/org/geraniumford/trials/deployment/Deployment.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.io.IOException;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -11,9 +12,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
 import org.geraniumford.core.configuration.Publication;
+import org.geraniumford.daemon.command.ConfigurationFolder;
+import org.geraniumford.daemon.configuration.ConfigurationPublisher;
+import org.geraniumford.transport.platform.PlatformClient;
 import org.geraniumford.trials.deployment.SettingsFiles.DaemonHost;
 import org.geraniumford.trials.deployment.SettingsFiles.Listen;
 
@@ -211,9 +218,14 @@
      * @throws IOException if the folder is not accepted
      */
     public void applyConfiguration() throws IOException {
-        Publication.Outcome outcome = ConfigurationFolder.publish(platformAddress(), plan.configuration());
-        if (!(outcome instanceof Publication.Outcome.Applied)) {
-            throw new IOException("the configuration was not applied: " + outcome);
+        try (AsyncHttpClient client = Dsl.asyncHttpClient(PlatformClient.configuration())) {
+            PlatformClient store = PlatformClient.of(URI.create(platformAddress()), client);
+            Publication.Outcome outcome = ConfigurationPublisher.of(store)
+                    .apply(ConfigurationFolder.read(plan.configuration()), Optional.empty(), "deployment")
+                    .join();
+            if (!(outcome instanceof Publication.Outcome.Applied)) {
+                throw new IOException("the configuration was not applied: " + outcome);
+            }
         }
     }
 
--- a/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
+++ b/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.geraniumford.trials.caller.Caller;
 import org.geraniumford.trials.caller.ModelAnswer;
@@ -197,9 +198,14 @@
 
     // -- support
 
+    /** Returns the first whole answer. */
     private ModelAnswer askUntilServed(int entry, List<String> prompt) {
-        await(() -> ask(entry, prompt).complete());
-        return ask(entry, prompt);
+        AtomicReference<ModelAnswer> answer = new AtomicReference<>();
+        await(() -> {
+            answer.set(ask(entry, prompt));
+            return answer.get().complete();
+        });
+        return answer.get();
     }
 
     /** Asks the entry which runner serves a request. */
