--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -70,7 +70,7 @@
     }
 
     @Test
-    void shouldFitTheBytesThatLimitsReckonWithWhenAReportAndItsShareAreSent() {
+    void shouldFitTheBytesThatLimitsReckonWithWhenAReportAndItsShareAreSent() throws BrokenFrameException {
         int tcpAndIpBytes = 2 * 40;
         int lengths = 2 * 4;
         int frames = FrameCodec.encode(new Envelope(1_700_000_000_000_000L, 1000, 1000, LIMIT_REQUEST)).length
