Entries admit requests within their customers' limits

Cause: the limit exchange was built but not joined to the entry, so limits had no effect. Ruled out: limits per entry alone, which 410 entries multiply. Change: CustomerGate between the entry and LimitExchange; prompt and longest answer are charged at admission, the unused part returned at the end.

--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ActiveRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ActiveRequest.java
@@ -1,28 +1,35 @@
 package org.geraniumford.daemon.entry;
 
+import org.geraniumford.core.configuration.Customer;
 import org.geraniumford.core.request.RequestState;
 import org.geraniumford.transport.link.Link;
 
 /** One model request that an entry works on. Owned by one duty. */
 final class ActiveRequest {
+    private final Customer customer;
     private final Answer answer;
     private RequestState state;
     private Link link;
     private int cachedPieces;
     private boolean firstTokenSeen;
 
-    private ActiveRequest(Answer answer) {
+    private ActiveRequest(Customer customer, Answer answer) {
+        this.customer = customer;
         this.answer = answer;
     }
 
     // -- construction
 
-    static ActiveRequest of(Answer answer) {
-        return new ActiveRequest(answer);
+    static ActiveRequest of(Customer customer, Answer answer) {
+        return new ActiveRequest(customer, answer);
     }
 
     // -- queries
 
+    Customer customer() {
+        return customer;
+    }
+
     Answer answer() {
         return answer;
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/CallerService.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/CallerService.java
@@ -11,6 +11,7 @@
 import org.geraniumford.core.verdict.RefusalException;
 import org.geraniumford.core.verdict.Verdict;
 import org.geraniumford.core.wire.Message;
+import org.geraniumford.daemon.limits.CustomerGate;
 import org.geraniumford.transport.http.HttpExchange;
 import org.geraniumford.transport.http.HttpService;
 import org.geraniumford.transport.log.LogEvent;
@@ -24,6 +25,7 @@
     private final RequestIds requestIds;
     private final ModelShards shards;
     private final ServiceCaller calls;
+    private final CustomerGate gate;
     private final EntryMetrics metrics;
     private final InFlight inFlight;
 
@@ -32,12 +34,14 @@
             RequestIds requestIds,
             ModelShards shards,
             ServiceCaller calls,
+            CustomerGate gate,
             EntryMetrics metrics,
             InFlight inFlight) {
         this.configurations = configurations;
         this.requestIds = requestIds;
         this.shards = shards;
         this.calls = calls;
+        this.gate = gate;
         this.metrics = metrics;
         this.inFlight = inFlight;
     }
@@ -107,6 +111,10 @@
         String body = exchange.bodyText()
                 .orElseThrow(() -> Refusal.notRun(Reason.MALFORMED_REQUEST, "the body is not UTF-8")
                         .toException());
+        gate.admit(customer, 0).ifPresent(refusal -> {
+            throw refusal.toException();
+        });
+        exchange.onDone(() -> gate.finished(customer, 0));
         calls.call(new ServiceCaller.ServiceRequest(
                         requestId,
                         customer,
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -19,7 +19,6 @@
 import java.util.stream.Collectors;
 import org.geraniumford.core.close.Closer;
 import org.geraniumford.core.configuration.ConfigurationHolder;
-import org.geraniumford.core.request.RequestLimits;
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
@@ -92,7 +91,7 @@
         LinkNetwork network =
                 LinkNetwork.of(group, identity(), settings.security().open(closer));
         EntryEnvironment environment = environments.open(configurations, network, incarnation, closer);
-        ModelShards shards = closer.add(ModelShards.start(shardParts(environment.limits()), incarnation));
+        ModelShards shards = closer.add(ModelShards.start(shardParts(environment), incarnation));
         SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
         EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, gateway));
         EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
@@ -102,6 +101,7 @@
                 RequestIds.of(settings.processId(), incarnation),
                 shards,
                 environment.calls().apply(gateway),
+                environment.gate(),
                 metrics,
                 inFlight);
         return network.listen(settings.linkAddress(), receiver)
@@ -112,11 +112,13 @@
                 .thenRun(this::logStart);
     }
 
-    private ModelShard.ShardParts shardParts(RequestLimits limits) {
+    private ModelShard.ShardParts shardParts(EntryEnvironment environment) {
         CostModel costs = CostModel.ofPrefillRate(settings.prefillTokensPerSecond());
-        RequestMachine machine = RequestMachine.of(settings.routingPolicy(), costs, RetryPolicy.standard(), limits);
+        RequestMachine machine =
+                RequestMachine.of(settings.routingPolicy(), costs, RetryPolicy.standard(), environment.limits());
         SpecFactory specs = new SpecFactory(settings.failureDomain(), settings.pieceTokens());
-        return new ModelShard.ShardParts(machine, specs, peers, HintCache.ofCapacity(HINT_CAPACITY), metrics, records);
+        return new ModelShard.ShardParts(
+                machine, specs, peers, HintCache.ofCapacity(HINT_CAPACITY), environment.gate(), metrics, records);
     }
 
     private LinkIdentity identity() {
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
@@ -15,6 +15,8 @@
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.daemon.calls.ServiceCalls;
 import org.geraniumford.daemon.configuration.ConfigurationSync;
+import org.geraniumford.daemon.limits.CustomerGate;
+import org.geraniumford.daemon.limits.LimitExchange;
 import org.geraniumford.daemon.membership.HostDirectory;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.transport.link.Link;
@@ -28,12 +30,14 @@
  * @param configurationMessages looks at each message that arrives; true if it needs no other handling
  * @param calls makes the calls of plain services through the entry's links
  * @param limits the bounds of one model request
+ * @param gate admits requests within their customers' limits
  */
 record EntryEnvironment(
         Supplier<List<Host>> hosts,
         BiPredicate<Link, Envelope> configurationMessages,
         Function<CallGateway, ServiceCaller> calls,
-        RequestLimits limits) {
+        RequestLimits limits,
+        CustomerGate gate) {
     /** Opens what an entry needs; the closer takes what must be closed with it. */
     interface Factory {
         EntryEnvironment open(ConfigurationHolder configurations, LinkNetwork network, long incarnation, Closer closer);
@@ -44,13 +48,15 @@
         requireNonNull(configurationMessages, "configurationMessages is null");
         requireNonNull(calls, "calls is null");
         requireNonNull(limits, "limits is null");
+        requireNonNull(gate, "gate is null");
     }
 
     // -- construction
 
     /** Returns surroundings without a platform: the hosts are given, and no configuration message is handled. */
     static EntryEnvironment of(Supplier<List<Host>> hosts, RequestLimits limits) {
-        return new EntryEnvironment(hosts, (link, envelope) -> false, IdempotentCalls::new, limits);
+        return new EntryEnvironment(
+                hosts, (link, envelope) -> false, IdempotentCalls::new, limits, CustomerGate.open());
     }
 
     /** Opens the connection to the platform and keeps the configuration and the host list up to date. */
@@ -64,7 +70,14 @@
             Function<CallGateway, ServiceCaller> calls = gateway -> new ServiceRouter(
                     new IdempotentCalls(gateway),
                     closer.add(ServiceCalls.start(platform, gateway, settings.processId(), incarnation)));
-            return new EntryEnvironment(directory::hosts, sync::received, calls, RequestLimits.standard());
+            LimitExchange limits =
+                    closer.add(LimitExchange.start(settings.processId(), configurations, directory::hosts, network));
+            return new EntryEnvironment(
+                    directory::hosts,
+                    (link, envelope) -> sync.received(link, envelope) || limits.received(link, envelope),
+                    calls,
+                    RequestLimits.standard(),
+                    limits);
         };
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
@@ -10,6 +10,7 @@
 import org.geraniumford.core.request.RequestEvent;
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.request.RequestSpec;
+import org.geraniumford.core.request.RequestState;
 import org.geraniumford.core.request.RequestStep;
 import org.geraniumford.core.retry.RetryBudget;
 import org.geraniumford.core.routing.Fleet;
@@ -17,6 +18,7 @@
 import org.geraniumford.core.routing.HintCache;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.RefusalException;
+import org.geraniumford.daemon.limits.CustomerGate;
 import org.geraniumford.transport.duty.DutyHandler;
 
 /** Drives the state machines of a part of an entry's model requests. All state belongs to its duty's thread. */
@@ -38,6 +40,7 @@
      * @param specs reads requests
      * @param peers the connected processes
      * @param hints where prefixes were last served
+     * @param gate admits requests within their customers' limits
      * @param metrics what is measured
      * @param records why requests went where they went
      */
@@ -46,6 +49,7 @@
             SpecFactory specs,
             PeerTable peers,
             HintCache hints,
+            CustomerGate gate,
             EntryMetrics metrics,
             ExplainRecords records) {}
 
@@ -117,7 +121,7 @@
             CallerRequest body = CallerRequestReader.read(
                     arrival.format(), arrival.exchange().bodyText());
             arrival.exchange().discardBody();
-            start(arrival, body, parts.specs().spec(arrival, body, random.nextLong()));
+            admit(arrival, body, parts.specs().spec(arrival, body, random.nextLong()));
         } catch (RefusalException e) {
             refuse(arrival, e.refusal());
         }
@@ -128,10 +132,17 @@
         new ErrorAnswer(arrival.requestId(), refusal).sendTo(arrival.exchange());
     }
 
+    private void admit(Arrival arrival, CallerRequest body, RequestSpec spec) {
+        long tokens = spec.chain().tokens() + (long) spec.maxTokens();
+        parts.gate()
+                .admit(arrival.customer(), tokens)
+                .ifPresentOrElse(refusal -> refuse(arrival, refusal), () -> start(arrival, body, spec));
+    }
+
     private void start(Arrival arrival, CallerRequest body, RequestSpec spec) {
         budget = budget.request(System.nanoTime());
-        ActiveRequest request =
-                ActiveRequest.of(Answer.of(arrival.exchange(), arrival.format(), arrival.requestId(), body));
+        ActiveRequest request = ActiveRequest.of(
+                arrival.customer(), Answer.of(arrival.exchange(), arrival.format(), arrival.requestId(), body));
         active.put(spec.requestId(), request);
         run(request, parts.machine().start(spec, context(spec)));
         parts.metrics().accepted(System.nanoTime() - arrival.acceptedNanos());
@@ -164,10 +175,15 @@
         }
         if (step.state().done()) {
             active.remove(step.state().spec().requestId());
+            parts.gate().finished(request.customer(), unusedTokens(step.state()));
         }
         following.forEach(event -> advance(request, event));
     }
 
+    private static long unusedTokens(RequestState state) {
+        return state.assembler().delivered() - (long) state.spec().maxTokens();
+    }
+
     private RequestContext context(RequestSpec spec) {
         Fleet fleet = parts.peers().fleet();
         return context(fleet, parts.hints().longest(spec.chain().pieces(), fleet));
--- a/daemon/src/main/java/org/geraniumford/daemon/limits/LimitExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/limits/LimitExchange.java
@@ -32,7 +32,7 @@
  * Keeps customers' limits over all entries: reports what this entry admits to each customer's home entry, and is the
  * home of some customers itself. Thread-safe.
  */
-public final class LimitExchange implements AutoCloseable {
+public final class LimitExchange implements CustomerGate, AutoCloseable {
     private static final int RING = 8_192;
     private static final Duration TICK = Duration.ofMillis(50);
 
@@ -78,23 +78,12 @@
 
     // -- commands
 
-    /**
-     * Admits a request, or says why not. A request admitted must be followed by {@link #finished}.
-     *
-     * @param customer whose request it is
-     * @param estimatedTokens the tokens of the prompt and of the longest answer
-     * @return empty if admitted; otherwise the refusal, with the time to come back
-     */
+    @Override
     public Optional<Refusal> admit(Customer customer, long estimatedTokens) {
         return limits.admit(customer, estimatedTokens, nowMicros());
     }
 
-    /**
-     * Ends a request that was admitted.
-     *
-     * @param customer whose request it was
-     * @param extraTokens the tokens used less those estimated; may be negative
-     */
+    @Override
     public void finished(Customer customer, long extraTokens) {
         limits.finished(customer, extraTokens);
     }
