--- a/daemon/src/main/java/org/geraniumford/daemon/command/LoadCommand.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/LoadCommand.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.geraniumford.daemon.load.Arrival;
@@ -70,10 +71,11 @@
             console.out().print(LoadConfiguration.text(scenario));
             return ExitCode.OK;
         }
+        long seed = seed(options);
         if (!options.has(ENTRY)) {
             throw CommandException.usage("load: --entry is missing; see --help");
         }
-        LoadResult result = send(scenario, options, console);
+        LoadResult result = send(scenario, seed, options, console);
         console.out().println(options.has(JSON) ? LoadReport.json(result) : LoadReport.table(result));
         if (options.has(RESULT)) {
             write(Path.of((String) options.valueOf(RESULT)), result);
@@ -81,13 +83,17 @@
         return ExitCode.OK;
     }
 
-    private static LoadResult send(Scenario scenario, OptionSet options, Console console) throws CommandException {
-        List<URI> entries = options.valuesOf(ENTRY).stream().map(URI.class::cast).toList();
-        long seed = (Long) options.valueOf(SEED);
+    private static LoadResult send(Scenario scenario, long seed, OptionSet options, Console console)
+            throws CommandException {
+        List<URI> entries =
+                options.valuesOf(ENTRY).stream().map(URI.class::cast).toList();
         List<Arrival> trace = Trace.of(scenario, seed);
         try {
-            List<Outcome> outcomes =
-                    LoadRun.run(scenario, new LoadTarget(entries), trace, line -> console.err().println(line));
+            List<Outcome> outcomes = LoadRun.run(
+                    scenario,
+                    new LoadTarget(entries),
+                    trace,
+                    line -> console.err().println(line));
             return LoadResult.of(scenario, (String) options.valueOf(LABEL), seed, trace, outcomes);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -95,6 +101,14 @@
         }
     }
 
+    private static long seed(OptionSet options) throws CommandException {
+        try {
+            return (Long) options.valueOf(SEED);
+        } catch (OptionException e) {
+            throw CommandException.usage("load: " + e.getMessage());
+        }
+    }
+
     private static Scenario scenario(String file) throws CommandException {
         try {
             return ScenarioReader.read(file, Files.readAllBytes(Path.of(file)));
