A restarted entry learns the hosts from its peers, and is ready once it is connected

Cause: with the platform down, a restarted entry knew only its seeds, so the first requests were computed on whatever runner a seed was (trial: first answer after the restart had 0 cached pieces where the prefix was held by a runner that is no seed). Ruled out: late cache events; rendezvous order differing after the restart. Change: HostListRequest and HostListAnswer; a peer's list stands in until the platform answers; /ready waits up to 2 s for the listed sidecars to be connected.

--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.prefix.Piece;
 import org.geraniumford.core.verdict.Refusal;
@@ -273,6 +274,28 @@
      */
     record ConfigurationDelta(long id, long version, String digest, String delta) implements Message {}
 
+    // -- membership
+
+    /**
+     * Asks a peer for the host list that it last read.
+     *
+     * @param id echoed in the answer
+     */
+    record HostListRequest(long id) implements Message {}
+
+    /**
+     * Answers {@link HostListRequest}.
+     *
+     * @param id the identifier asked with
+     * @param hosts the platform's list as the peer last read it; empty if it has none
+     */
+    record HostListAnswer(long id, List<Host> hosts) implements Message {
+        /** Copies the list. */
+        public HostListAnswer {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
     // -- operators
 
     /**
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
@@ -16,9 +17,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.geraniumford.core.close.Closer;
 import org.geraniumford.core.configuration.ConfigurationHolder;
+import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.request.RequestMachine;
 import org.geraniumford.core.retry.RetryPolicy;
 import org.geraniumford.core.routing.CostModel;
@@ -38,6 +41,7 @@
     private static final int NETWORK_THREADS = 2;
     private static final int HINT_CAPACITY = 32_768;
     private static final long GROUP_STOP_SECONDS = 5;
+    private static final Duration SETTLE_TIME = Duration.ofSeconds(2);
 
     private final EntrySettings settings;
     private final ConfigurationHolder configurations;
@@ -51,6 +55,9 @@
     private final CompletableFuture<Void> closed = new CompletableFuture<>();
     private final AtomicBoolean closing = new AtomicBoolean();
     private final long incarnation = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    private final long startedNanos = System.nanoTime();
+    private Supplier<List<Host>> hosts = List::of;
+    private EntryTargets targets = new EntryTargets(List.of(), List::of);
     private HttpServer callers;
     private LinkListener links;
 
@@ -94,7 +101,8 @@
         ModelShards shards = closer.add(ModelShards.start(shardParts(environment), incarnation));
         SidecarCalls gateway = SidecarCalls.of(peers, settings.failureDomain());
         EntryLinks receiver = new EntryLinks(environment.configurationMessages(), List.of(shards, gateway));
-        EntryTargets targets = new EntryTargets(settings.seeds(), environment.hosts());
+        hosts = environment.hosts();
+        targets = new EntryTargets(settings.seeds(), hosts);
         closer.add(PeerPool.start(network, targets, peers, receiver));
         CallerService service = new CallerService(
                 configurations,
@@ -158,11 +166,24 @@
     /**
      * Says whether the entry takes new work with a good chance to serve it.
      *
-     * @return true while it has a configuration and a live model engine or service and is not shutting down
+     * @return true while it has a configuration and a connected sidecar, and is not shutting down; for a short time
+     *     after the start it also waits until every listed sidecar is connected, since those hold the cached prefixes
      */
     public boolean ready() {
-        return !inFlight.draining()
-                && configurations.version() > 0
+        return !inFlight.draining() && configurations.version() > 0 && (settled() || allConnected());
+    }
+
+    private boolean settled() {
+        boolean late = System.nanoTime() - startedNanos >= SETTLE_TIME.toNanos();
+        return late && !connectedHosts().isEmpty();
+    }
+
+    private boolean allConnected() {
+        Set<InetSocketAddress> wanted = targets.get().addresses();
+        Set<InetSocketAddress> connected =
+                peers.all().stream().map(Peer::address).collect(Collectors.toSet());
+        return hosts.get().size() > 0
+                && connected.containsAll(wanted)
                 && !connectedHosts().isEmpty();
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryEnvironment.java
@@ -74,7 +74,9 @@
                     closer.add(LimitExchange.start(settings.processId(), configurations, directory::hosts, network));
             return new EntryEnvironment(
                     directory::hosts,
-                    (link, envelope) -> sync.received(link, envelope) || limits.received(link, envelope),
+                    (link, envelope) -> sync.received(link, envelope)
+                            || limits.received(link, envelope)
+                            || directory.received(link, envelope),
                     calls,
                     RequestLimits.standard(),
                     limits);
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/PeerHandler.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/PeerHandler.java
@@ -29,6 +29,7 @@
     public void received(Link link, Envelope envelope) {
         if (envelope.message() instanceof Message.Hello hello) {
             greeted(link, envelope.incarnation(), hello);
+            listener.received(host, link, envelope);
             return;
         }
         if (host.isEmpty()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/membership/HostDirectory.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/membership/HostDirectory.java
@@ -14,12 +14,18 @@
 import org.geraniumford.core.membership.HostListPolling;
 import org.geraniumford.core.verdict.RefusalException;
 import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.wire.Message;
 import org.geraniumford.transport.duty.Duty;
 import org.geraniumford.transport.duty.DutyHandler;
+import org.geraniumford.transport.link.Link;
 import org.geraniumford.transport.log.LogEvent;
 import org.geraniumford.transport.platform.PlatformClient;
 
-/** Reads the platform's host list at jittered intervals and keeps the last good one. Queries are thread-safe. */
+/**
+ * Reads the platform's host list at jittered intervals and keeps the last good one. Until the platform has answered
+ * once, a peer's list stands in. Queries are thread-safe.
+ */
 public final class HostDirectory implements AutoCloseable {
     private static final int RING = 64;
     private static final Duration TICK = Duration.ofMillis(50);
@@ -30,7 +36,7 @@
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private final CompletableFuture<Void> loaded = new CompletableFuture<>();
     private volatile List<Host> hosts = List.of();
-    private volatile Duty<Optional<List<Host>>> duty;
+    private volatile Duty<Reading> duty;
     private long readAtNanos;
     private boolean failing;
 
@@ -98,6 +104,28 @@
         listeners.add(requireNonNull(listener, "listener is null"));
     }
 
+    /**
+     * Looks at a message that arrived on any link of this process. Never blocks.
+     *
+     * @param link where it arrived
+     * @param envelope the message
+     * @return true if it is a message about the host list, which needs no other handling
+     */
+    public boolean received(Link link, Envelope envelope) {
+        Message message = envelope.message();
+        if (message instanceof Message.HostListRequest request) {
+            link.send(new Message.HostListAnswer(request.id(), hosts));
+            return true;
+        } else if (message instanceof Message.HostListAnswer answer) {
+            duty.offer(new Reading(Optional.of(answer.hosts()), true));
+            return true;
+        }
+        if (message instanceof Message.Hello && !loaded.isDone()) {
+            link.send(new Message.HostListRequest(envelope.sequence()));
+        }
+        return false;
+    }
+
     /** Stops reading; the last list stays. */
     @Override
     public void close() {
@@ -106,11 +134,18 @@
 
     // -- the duty
 
-    private final class Handler implements DutyHandler<Optional<List<Host>>> {
+    /** A list that arrived, or empty if the platform did not answer. */
+    private record Reading(Optional<List<Host>> list, boolean fromPeer) {}
+
+    private final class Handler implements DutyHandler<Reading> {
         @Override
-        public void handle(Optional<List<Host>> answer) {
-            answer.filter(list -> !list.equals(hosts)).ifPresent(HostDirectory.this::replace);
-            answer.ifPresent(list -> loaded.complete(null));
+        public void handle(Reading reading) {
+            if (reading.fromPeer()) {
+                reading.list().filter(list -> !loaded.isDone()).ifPresent(HostDirectory.this::standIn);
+                return;
+            }
+            reading.list().filter(list -> !list.equals(hosts)).ifPresent(HostDirectory.this::replace);
+            reading.list().ifPresent(list -> loaded.complete(null));
             schedule();
         }
 
@@ -127,7 +162,7 @@
     private void read() {
         source.get().whenComplete((list, failure) -> {
             note(failure);
-            duty.offer(Optional.ofNullable(list));
+            duty.offer(new Reading(Optional.ofNullable(list), false));
         });
     }
 
@@ -136,6 +171,13 @@
         readAtNanos = System.nanoTime() + mean / 2 + random.nextLong(mean);
     }
 
+    /** Takes a peer's list; the longest one wins, since a peer that has just started knows few hosts. */
+    private void standIn(List<Host> list) {
+        if (list.size() > hosts.size()) {
+            replace(list);
+        }
+    }
+
     private void replace(List<Host> list) {
         hosts = List.copyOf(list);
         listeners.forEach(Runnable::run);
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDaemon.java
@@ -69,7 +69,12 @@
         parts.run(handler);
         CompletableFuture<SidecarDaemon> started = new CompletableFuture<>();
         OperatorSource source = new Source(handler, started);
-        return network.listen(settings.linkAddress(), SidecarLinks.of(parts::offer, sync::received, metrics))
+        return network.listen(
+                        settings.linkAddress(),
+                        SidecarLinks.of(
+                                parts::offer,
+                                (link, envelope) -> sync.received(link, envelope) || hosts.received(link, envelope),
+                                metrics))
                 .thenApply(closer::add)
                 .thenCompose(links -> OperatorServer.start(group, settings.operatorAddress(), registry, source)
                         .thenApply(closer::add)
--- a/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
@@ -33,7 +33,9 @@
     STATUS_REQUEST(51, Message.StatusRequest.class),
     STATUS_ANSWER(52, Message.StatusAnswer.class),
     LIMIT_REQUEST(60, Message.LimitRequest.class),
-    LIMIT_GRANT(61, Message.LimitGrant.class);
+    LIMIT_GRANT(61, Message.LimitGrant.class),
+    HOST_LIST_REQUEST(70, Message.HostListRequest.class),
+    HOST_LIST_ANSWER(71, Message.HostListAnswer.class);
 
     private static final Map<Integer, MessageType> BY_CODE =
             Arrays.stream(values()).collect(Collectors.toUnmodifiableMap(MessageType::code, Function.identity()));
--- a/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
+++ b/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
@@ -33,6 +33,8 @@
     private static final Path CONFIGURATION = Path.of("..", "examples", "configuration");
     private static final List<String> ENGINE = List.of("--prefill-micros", "10", "--decode-micros", "10000");
     private static final int ANSWER_TOKENS = 100;
+    private static final int OK = 200;
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
 
     private Deployment deployment;
 
@@ -162,7 +164,8 @@
         try {
             deployment.entry(1).kill();
             deployment.restartEntry(1);
-            ModelAnswer after = askUntilServed(1, prompt);
+            await(() -> operatorStatus(1, "/ready") == OK);
+            ModelAnswer after = ask(1, prompt);
             assertThat(after.cachedPieces()).isGreaterThanOrEqualTo(before.pieces() - 1);
         } finally {
             deployment.platform().faults("{\"outage\":false}");
@@ -198,6 +201,13 @@
 
     // -- support
 
+    private int operatorStatus(int entry, String path) {
+        URI uri = URI.create("http://" + deployment.entry(entry).address("operator") + path);
+        return CLIENT.sendAsync(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.discarding())
+                .join()
+                .statusCode();
+    }
+
     /** Returns the first whole answer. */
     private ModelAnswer askUntilServed(int entry, List<String> prompt) {
         AtomicReference<ModelAnswer> answer = new AtomicReference<>();
@@ -211,8 +221,7 @@
     /** Asks the entry which runner serves a request. */
     private String servingRunner(String requestId) throws Exception {
         URI explain = URI.create("http://" + deployment.entry(0).address("operator") + "/explain/" + requestId);
-        String json = HttpClient.newHttpClient()
-                .send(HttpRequest.newBuilder(explain).build(), HttpResponse.BodyHandlers.ofString())
+        String json = CLIENT.send(HttpRequest.newBuilder(explain).build(), HttpResponse.BodyHandlers.ofString())
                 .body();
         JsonNode attempts = new ObjectMapper().readTree(json).path("attempts");
         return attempts.path(attempts.size() - 1).path("choice").asText();
