--- a/core/src/main/java/org/geraniumford/core/routing/CostModel.java
+++ b/core/src/main/java/org/geraniumford/core/routing/CostModel.java
@@ -19,7 +19,7 @@
     private static final double MICROS_PER_SECOND = 1_000_000.0;
     private static final long STANDARD_CROSS_DOMAIN_MICROS = 1_000;
     private static final double STANDARD_PENDING_SHARE = 0.25;
-    private static final double STANDARD_DUPLICATION_SHARE = 2.0;
+    private static final double STANDARD_DUPLICATION_SHARE = 1.0;
     private static final long STANDARD_SATURATED_MICROS = 500_000;
 
     /** Checks the components. */
