--- a/core/src/main/java/org/geraniumford/core/configuration/IniReader.java
+++ b/core/src/main/java/org/geraniumford/core/configuration/IniReader.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import org.geraniumford.core.ini.LineReader;
 import org.ini4j.Config;
 import org.ini4j.InvalidFileFormatException;
 import org.ini4j.spi.IniHandler;
--- a/core/src/main/java/org/geraniumford/core/ini/LineReader.java
+++ b/core/src/main/java/org/geraniumford/core/ini/LineReader.java
@@ -3,19 +3,28 @@
 import java.io.Reader;
 
 /** Hands out text one line a read, so that a parser's buffer never runs ahead of the line that it parses. */
-final class LineReader extends Reader {
+public final class LineReader extends Reader {
     private final String text;
     private int position;
     private int line;
 
-    LineReader(String text) {
+    /**
+     * Creates a reader.
+     *
+     * @param text what to read
+     */
+    public LineReader(String text) {
         this.text = text;
     }
 
     // -- queries
 
-    /** Returns the number of the line handed out last, from 1. */
-    int line() {
+    /**
+     * Returns where the parser is.
+     *
+     * @return the number of the line handed out last, from 1
+     */
+    public int line() {
         return line;
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryTargets.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryTargets.java
@@ -16,6 +16,10 @@
 final class EntryTargets implements Supplier<PeerPool.Targets> {
     private final Collection<InetSocketAddress> seeds;
     private final Supplier<List<Host>> hosts;
+    private volatile Computed last;
+
+    /** The targets of one host list, so that an unchanged list is not read again. */
+    private record Computed(List<Host> list, PeerPool.Targets targets) {}
 
     EntryTargets(Collection<InetSocketAddress> seeds, Supplier<List<Host>> hosts) {
         this.seeds = seeds;
@@ -26,9 +30,18 @@
 
     @Override
     public PeerPool.Targets get() {
-        List<Host> sidecars = hosts.get().stream()
-                .filter(host -> host.kind() != HostKind.ENTRY)
-                .toList();
+        List<Host> list = List.copyOf(hosts.get());
+        Computed known = last;
+        if (known == null || !known.list().equals(list)) {
+            known = new Computed(list, compute(list));
+            last = known;
+        }
+        return known.targets();
+    }
+
+    private PeerPool.Targets compute(List<Host> list) {
+        List<Host> sidecars =
+                list.stream().filter(host -> host.kind() != HostKind.ENTRY).toList();
         Set<InetSocketAddress> listed = addresses(sidecars, host -> true);
         Set<InetSocketAddress> all =
                 Stream.concat(seeds.stream(), listed.stream()).collect(Collectors.toUnmodifiableSet());
