Ticks are ten times as far apart while a duty is idle

Cause: an idle sidecar used 41.6 ms a second and an idle entry 25.6 of a budget of 16 (CAPACITY.md), mostly in duty threads that tick every 10 ms. Ruled out: slower ticks under load, which would miss probe timeouts of 20 ms. Change: DutyHandler.idle; events still wake the thread at once.

--- a/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/ModelShard.java
@@ -99,6 +99,11 @@
         probes.expire(System.nanoTime());
     }
 
+    @Override
+    public boolean idle() {
+        return active.isEmpty();
+    }
+
     /** Also makes up for events that a full ring refused. */
     private void tick(ActiveRequest request) {
         if (request.answer().exchange().closed()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDuty.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/sidecar/SidecarDuty.java
@@ -98,6 +98,11 @@
         tellOrders();
     }
 
+    @Override
+    public boolean idle() {
+        return models.waiting() + models.running() + calls.size() == 0 && finished.isEmpty();
+    }
+
     // -- commands: peers
 
     void peerOpened(Peer peer) {
--- a/transport/src/main/java/org/geraniumford/transport/duty/Duty.java
+++ b/transport/src/main/java/org/geraniumford/transport/duty/Duty.java
@@ -13,6 +13,9 @@
  * @param <E> the type of event
  */
 public final class Duty<E> implements AutoCloseable {
+    /** How many times further apart ticks are while the handler is idle. */
+    public static final int IDLE_FACTOR = 10;
+
     private static final int BATCH = 256;
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(5);
 
@@ -98,8 +101,10 @@
             long now = System.nanoTime();
             if (now - nextTick >= 0) {
                 guarded(handler::tick);
-                nextTick = now + tickNanos;
-            } else if (handled == 0) {
+                nextTick = now + tickNanos * (handler.idle() ? IDLE_FACTOR : 1);
+            } else if (handled > 0) {
+                nextTick = Math.min(nextTick, now + tickNanos);
+            } else {
                 park(nextTick - now);
             }
         }
--- a/transport/src/main/java/org/geraniumford/transport/duty/DutyHandler.java
+++ b/transport/src/main/java/org/geraniumford/transport/duty/DutyHandler.java
@@ -13,6 +13,18 @@
      */
     void handle(E event);
 
-    /** Handles the passing of time; called about once in each tick interval, also under load. */
+    /**
+     * Handles the passing of time; called about once in each tick interval, also under load, and less often while
+     * {@link #idle}.
+     */
     default void tick() {}
+
+    /**
+     * Says whether nothing waits for a tick soon.
+     *
+     * @return true to have ticks {@value Duty#IDLE_FACTOR} times as far apart until the next event
+     */
+    default boolean idle() {
+        return false;
+    }
 }
--- a/transport/src/test/java/org/geraniumford/transport/duty/DutyTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/duty/DutyTest.java
@@ -52,6 +52,33 @@
         assertThat(handled).containsExactly(1);
     }
 
+    @Test
+    void shouldStillTickAndTakeEventsWhenTheHandlerIsIdle() throws InterruptedException {
+        CountDownLatch ticks = new CountDownLatch(2);
+        CountDownLatch events = new CountDownLatch(1);
+        DutyHandler<Integer> handler = new DutyHandler<>() {
+            @Override
+            public void handle(Integer event) {
+                events.countDown();
+            }
+
+            @Override
+            public void tick() {
+                ticks.countDown();
+            }
+
+            @Override
+            public boolean idle() {
+                return true;
+            }
+        };
+        try (Duty<Integer> duty = Duty.start("duty", 4, TICK, handler)) {
+            assertThat(ticks.await(30, TimeUnit.SECONDS)).isTrue();
+            assertThat(duty.offer(1)).isTrue();
+            assertThat(events.await(30, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await();
