--- a/trials/src/main/java/org/geraniumford/trials/measure/Measure.java
+++ b/trials/src/main/java/org/geraniumford/trials/measure/Measure.java
@@ -41,6 +41,8 @@
             .defaultsTo(1L, 2L, 3L, 4L, 5L);
     private final OptionSpec<String> results =
             parser.accepts("results", "the folder for JSON and SVG files").withRequiredArg();
+    private final OptionSpec<Void> help =
+            parser.accepts("help", "prints the options").forHelp();
     private final PrintWriter out;
 
     private Measure(PrintWriter out) {
@@ -73,6 +75,10 @@
     }
 
     private int run(OptionSet options) throws IOException, InterruptedException {
+        if (options.has(help)) {
+            parser.printHelpOn(out);
+            return 0;
+        }
         List<RoutingPolicy> chosen = options.valuesOf(policies).stream()
                 .map(name -> RoutingPolicy.valueOf(name.toUpperCase(Locale.ROOT)))
                 .toList();
--- a/trials/src/main/java/org/geraniumford/trials/measure/Measurement.java
+++ b/trials/src/main/java/org/geraniumford/trials/measure/Measurement.java
@@ -27,6 +27,8 @@
 /** One run: a scenario, a policy and a seed on a fresh deployment. */
 final class Measurement {
     private static final int WARM_UP_SECONDS = 20;
+    private static final double MICROS_PER_SECOND = 1_000_000;
+    private static final long MAX_PREFILL_TOKENS_PER_SECOND = 10_000_000;
     private static final long WARM_UP_SEED = -1;
 
     private final Scenario scenario;
@@ -88,11 +90,21 @@
                 "[engine]",
                 "piece_tokens = " + scenario.prompts().pieceTokens(),
                 "[routing]",
-                "policy = " + label(policy));
+                "policy = " + label(policy),
+                "prefill_tokens_per_second = " + prefillTokensPerSecond());
         return new DeploymentPlan(
                 configuration, runners, List.of(), fleet.entries(), domains, entrySettings, List.of());
     }
 
+    /** Returns what the engines compute a second of real time. */
+    private long prefillTokensPerSecond() {
+        return Math.min(
+                MAX_PREFILL_TOKENS_PER_SECOND,
+                Math.round(MICROS_PER_SECOND
+                        * scenario.traffic().timeScale()
+                        / scenario.fleet().prefillMicros()));
+    }
+
     private List<String> engineOptions() {
         Scenario.Fleet fleet = scenario.fleet();
         return List.of(
