--- a/trials/src/main/java/org/geraniumford/trials/demo/Demo.java
+++ b/trials/src/main/java/org/geraniumford/trials/demo/Demo.java
@@ -154,7 +154,7 @@
                   curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer example-key-amahoro' \\
                     -d '{"model":"draft","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Muraho"}]}'
                   curl http://%s/status
-                  bin/geraniumford status --process %s
+                  bin/geraniumford status --at %s
                 """, entry, operator, operator);
         CountDownLatch interrupted = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
