A sidecar counts as connected once requests can be routed to it

Cause: the entry named a sidecar as connected a moment before its table of engines was rebuilt; a request in between was refused with no_backend. ErrorContractTest failed once that way (503 in place of 429), seen by one developer; the race was found by reading, it was not reproduced. Ruled out: a wrong mapping of reasons (it passes in every other run).

--- a/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/entry/EntryDaemon.java
@@ -188,15 +188,19 @@
     }
 
     /**
-     * Lists the sidecars that are connected and have named their state.
+     * Lists the sidecars that are connected and that requests can be routed to.
      *
      * @return host names
      */
     public Set<String> connectedHosts() {
-        return peers.all().stream()
-                .filter(peer -> peer.state().isPresent())
-                .map(Peer::host)
-                .collect(Collectors.toUnmodifiableSet());
+        return peers.all().stream().filter(this::routable).map(Peer::host).collect(Collectors.toUnmodifiableSet());
+    }
+
+    private boolean routable(Peer peer) {
+        return peer.state()
+                .filter(state -> !state.service().isEmpty()
+                        || peers.fleet().find(peer.host()).isPresent())
+                .isPresent();
     }
 
     /**
