Tests that the customers' limits are joined to the entry

Cause: read as a newcomer: the whole suite would have passed with the entry's admission by customer limits removed. Ruled out: leaving it to LimitExchangeTest, which never goes through an entry. Change: a recording gate in the entry's fixture; refusals of model requests and calls, and the end of each admitted request.

--- a/daemon/src/test/java/org/geraniumford/daemon/entry/EntryFixture.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/EntryFixture.java
@@ -17,10 +17,13 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.geraniumford.core.configuration.Configuration;
 import org.geraniumford.core.configuration.ConfigurationHolder;
@@ -32,6 +35,8 @@
 import org.geraniumford.core.membership.HostKind;
 import org.geraniumford.core.membership.HostState;
 import org.geraniumford.core.request.RequestLimits;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.daemon.limits.CustomerGate;
 import org.geraniumford.daemon.settings.EntrySettings;
 import org.geraniumford.transport.metrics.ReasonCounters;
 
@@ -44,6 +49,7 @@
     private final List<FakeSidecar> sidecars = new ArrayList<>();
     private final List<Host> hosts = new CopyOnWriteArrayList<>();
     private final ConfigurationHolder holder = ConfigurationHolder.empty();
+    private final RecordingGate gate = new RecordingGate();
     private final HttpClient client = HttpClient.newHttpClient();
     private final EntryDaemon entry;
 
@@ -54,10 +60,49 @@
         entry = EntryDaemon.start(
                         settings,
                         holder,
-                        (held, network, incarnation, closer) -> EntryEnvironment.of(() -> hosts, limits))
+                        (held, network, incarnation, closer) -> new EntryEnvironment(
+                                () -> hosts, (link, envelope) -> false, IdempotentCalls::new, limits, gate))
                 .join();
     }
 
+    /** Admits what it is told to, and counts the requests that were admitted and have not finished. */
+    static final class RecordingGate implements CustomerGate {
+        private final AtomicInteger open = new AtomicInteger();
+        private final AtomicLong tokens = new AtomicLong();
+        private volatile Optional<Refusal> answer = Optional.empty();
+
+        void refuseWith(Refusal refusal) {
+            answer = Optional.of(refusal);
+        }
+
+        int open() {
+            return open.get();
+        }
+
+        long tokens() {
+            return tokens.get();
+        }
+
+        @Override
+        public Optional<Refusal> admit(Customer customer, long estimatedTokens) {
+            if (answer.isEmpty()) {
+                open.incrementAndGet();
+                tokens.addAndGet(estimatedTokens);
+            }
+            return answer;
+        }
+
+        @Override
+        public void finished(Customer customer, long extraTokens) {
+            tokens.addAndGet(extraTokens);
+            open.decrementAndGet();
+        }
+    }
+
+    RecordingGate gate() {
+        return gate;
+    }
+
     // -- construction
 
     static EntryFixture unconfigured() {
--- a/daemon/src/test/java/org/geraniumford/daemon/entry/ErrorContractTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/entry/ErrorContractTest.java
@@ -165,6 +165,29 @@
         assertThat(error(response).path("retry_after_ms").longValue()).isEqualTo(2500);
     }
 
+    // -- limits
+
+    @Test
+    void shouldRefuseModelRequestsAndCallsThatTheCustomersLimitsDoNotAdmit() throws JsonProcessingException {
+        fixture.engine("runner-1");
+        fixture.service("service-1", "ballots");
+        fixture.gate().refuseWith(Refusal.notRun(Reason.REQUEST_RATE_LIMITED, "over the limit"));
+        assertError(fixture.send(fixture.chat("")), Reason.REQUEST_RATE_LIMITED, "over the limit");
+        HttpResponse<String> call =
+                fixture.send(fixture.request("/services/ballots/status/1").build());
+        assertThat(call.statusCode()).isEqualTo(Reason.REQUEST_RATE_LIMITED.status());
+    }
+
+    @Test
+    void shouldFinishEveryAdmittedRequestWhenItHasBeenAnswered() {
+        fixture.engine("runner-1");
+        fixture.service("service-1", "ballots");
+        assertThat(fixture.send(fixture.chat(",\"max_tokens\":3")).statusCode()).isEqualTo(200);
+        fixture.send(fixture.request("/services/ballots/status/1").build());
+        EntryFixture.await(() -> fixture.gate().open() == 0);
+        assertThat(fixture.gate().tokens()).isPositive();
+    }
+
     @Test
     void shouldSayThatACallMayHaveRunWhenItsLinkIsLost() throws JsonProcessingException {
         FakeSidecar sidecar = fixture.service("service-1", "ballots");
