--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
@@ -0,0 +1,161 @@
+package org.geraniumford.core.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.geraniumford.core.service.EngineShape;
+
+/**
+ * The backend servers that an entry believes in. A server that was seen leaving stays out for the rest of its
+ * incarnation. After an outage of the list, servers that are missing from it are kept for a short while, since live
+ * ones register again. Not thread-safe.
+ */
+public final class ServerDirectory {
+    /** How long a server that is missing after an outage is still believed in; less than any drain bound. */
+    public static final Duration RETURN_GRACE = Duration.ofMillis(1700);
+
+    private final Map<String, ServerState> byId = new LinkedHashMap<>();
+    private final Map<String, Long> missingSince = new HashMap<>();
+    private final Map<String, Long> leftIncarnations = new HashMap<>();
+    private final Function<String, Optional<EngineShape>> shapes;
+    private long outageEndNanos;
+    private boolean outageSeen;
+
+    private ServerDirectory(Function<String, Optional<EngineShape>> shapes) {
+        this.shapes = shapes;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a directory without servers.
+     *
+     * @param shapes finds the engine size of a service by its name
+     * @return an empty directory
+     */
+    public static ServerDirectory empty(Function<String, Optional<EngineShape>> shapes) {
+        return new ServerDirectory(shapes);
+    }
+
+    // -- queries
+
+    /**
+     * Finds a server.
+     *
+     * @param id its name
+     * @return what is believed of it, or empty if it is not believed in
+     */
+    public Optional<ServerState> find(String id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /**
+     * Returns the servers of a service that take new work.
+     *
+     * @param service the name of the service
+     * @return the servers in the order in which they were first listed
+     */
+    public List<ServerState> ready(String service) {
+        return byId.values().stream()
+                .filter(state -> !state.server().leaving())
+                .filter(state -> state.server().service().equals(service))
+                .toList();
+    }
+
+    /**
+     * Returns every server.
+     *
+     * @return the servers, leaving ones included
+     */
+    public Collection<ServerState> all() {
+        return List.copyOf(byId.values());
+    }
+
+    // -- commands
+
+    /**
+     * Takes a listing.
+     *
+     * @param server a server as it lists itself
+     */
+    public void listed(BackendServer server) {
+        Long left = leftIncarnations.get(server.id());
+        if (left != null && server.incarnation() <= left && !server.leaving()) {
+            return;
+        }
+        missingSince.remove(server.id());
+        ServerState known = byId.get(server.id());
+        if (known != null && server.incarnation() < known.server().incarnation()) {
+            return;
+        }
+        if (server.leaving()) {
+            leftIncarnations.put(server.id(), server.incarnation());
+        }
+        if (known != null && server.incarnation() == known.server().incarnation()) {
+            known.listed(server);
+        } else {
+            byId.put(server.id(), ServerState.of(server, shapes.apply(server.service())));
+        }
+    }
+
+    /**
+     * Takes the removal of a listing.
+     *
+     * @param id the server's name
+     * @param nowNanos the time
+     */
+    public void removed(String id, long nowNanos) {
+        if (outageSeen && nowNanos - outageEndNanos < RETURN_GRACE.toNanos()) {
+            if (byId.containsKey(id)) {
+                missingSince.putIfAbsent(id, nowNanos);
+            }
+        } else {
+            byId.remove(id);
+            missingSince.remove(id);
+        }
+    }
+
+    /**
+     * Takes the whole list.
+     *
+     * @param servers every server that is listed
+     * @param nowNanos the time
+     */
+    public void replaced(Collection<BackendServer> servers, long nowNanos) {
+        Set<String> listed = new HashSet<>();
+        servers.forEach(server -> listed.add(server.id()));
+        new ArrayList<>(byId.keySet())
+                .stream().filter(id -> !listed.contains(id)).forEach(id -> removed(id, nowNanos));
+        servers.forEach(this::listed);
+    }
+
+    /**
+     * Notes that the list can be read again after an outage.
+     *
+     * @param nowNanos the time
+     */
+    public void outageEnded(long nowNanos) {
+        outageSeen = true;
+        outageEndNanos = nowNanos;
+    }
+
+    /**
+     * Drops the servers that have been missing for longer than {@link #RETURN_GRACE} since the outage ended.
+     *
+     * @param nowNanos the time
+     */
+    public void expire(long nowNanos) {
+        if (!missingSince.isEmpty() && nowNanos - outageEndNanos >= RETURN_GRACE.toNanos()) {
+            missingSince.keySet().forEach(byId::remove);
+            missingSince.clear();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -0,0 +1,34 @@
+package org.geraniumford.core.fleet;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumford.core.prompt.Prompt;
+
+/**
+ * What a request asks of a backend server.
+ *
+ * @param service the service that must run it
+ * @param failureDomain where the entry stands
+ * @param prompt the prompt's shape; empty for a plain call
+ * @param scope the scope within which the customer's prompt parts are shared
+ * @param newestWeights the newest version named for the prompt's model; 0 if none is known
+ * @param excluded the servers that have been tried
+ */
+public record ServerQuery(
+        String service,
+        String failureDomain,
+        Optional<Prompt> prompt,
+        String scope,
+        int newestWeights,
+        Set<String> excluded) {
+    /** Checks and copies the components. */
+    public ServerQuery {
+        requireNonNull(service, "service is null");
+        requireNonNull(failureDomain, "failureDomain is null");
+        requireNonNull(prompt, "prompt is null");
+        requireNonNull(scope, "scope is null");
+        excluded = Set.copyOf(excluded);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -0,0 +1,205 @@
+package org.geraniumford.core.fleet;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.geraniumford.core.service.EngineShape;
+
+/** What an entry believes of one incarnation of a backend server. Not thread-safe. */
+public final class ServerState {
+    private static final Duration FIRST_SUSPENSION = Duration.ofMillis(300);
+    private static final Duration LONGEST_SUSPENSION = Duration.ofSeconds(4);
+    private static final double FAILURE_WEIGHT = 0.15;
+
+    private BackendServer server;
+    private final CacheBelief cache;
+    private int running;
+    private long runningTokens;
+    private int failuresInRow;
+    private double failureRate;
+    private long suspendedUntilNanos;
+    private boolean suspended;
+    private final Map<String, Integer> observedWeights = new HashMap<>();
+
+    private ServerState(BackendServer server, CacheBelief cache) {
+        this.server = server;
+        this.cache = cache;
+    }
+
+    // -- construction
+
+    /**
+     * Creates the state of a server that nothing was sent to.
+     *
+     * @param server the server
+     * @param engine the size of its engine; empty for a plain service
+     * @return a new state
+     */
+    public static ServerState of(BackendServer server, Optional<EngineShape> engine) {
+        requireNonNull(server, "server is null");
+        return new ServerState(
+                server, CacheBelief.empty(engine.map(EngineShape::cacheTokens).orElse(0L)));
+    }
+
+    // -- queries
+
+    /**
+     * Returns the server as it lists itself.
+     *
+     * @return the newest listing
+     */
+    public BackendServer server() {
+        return server;
+    }
+
+    /**
+     * Returns what the engine probably has cached.
+     *
+     * @return the belief, which changes
+     */
+    public CacheBelief cache() {
+        return cache;
+    }
+
+    /**
+     * Returns how many of this entry's requests the server holds.
+     *
+     * @return a count of requests
+     */
+    public int running() {
+        return running;
+    }
+
+    /**
+     * Returns the memory that this entry's requests need on the server.
+     *
+     * @return a count of tokens
+     */
+    public long runningTokens() {
+        return runningTokens;
+    }
+
+    /**
+     * Returns the recent share of requests that failed there.
+     *
+     * @return from 0 to 1, newer requests weigh more
+     */
+    public double failureRate() {
+        return failureRate;
+    }
+
+    /**
+     * Returns the version of a model's weights that the server holds. Within one incarnation it only grows, so the
+     * larger of what it lists and what its answers told is taken.
+     *
+     * @param model the model
+     * @return the version, or empty if it is not known
+     */
+    public OptionalInt weights(String model) {
+        int listed = server.weights().getOrDefault(model, 0);
+        int version = Math.max(listed, observedWeights.getOrDefault(model, 0));
+        return version == 0 ? OptionalInt.empty() : OptionalInt.of(version);
+    }
+
+    /**
+     * Says whether the server is to be avoided for a while.
+     *
+     * @param nowNanos the time
+     * @return true after failures to reach it, until the suspension ends
+     */
+    public boolean suspended(long nowNanos) {
+        return suspended && nowNanos - suspendedUntilNanos < 0;
+    }
+
+    // -- commands
+
+    /**
+     * Takes a newer listing of the same incarnation.
+     *
+     * @param newer the listing
+     */
+    public void listed(BackendServer newer) {
+        newer.weights().forEach(this::holdsWeights);
+        server = newer;
+    }
+
+    /**
+     * Takes what an answer told of the server's weights. An engine that loads others drops what it has cached.
+     *
+     * @param model the model
+     * @param version the version that the server holds at least
+     */
+    public void holdsWeights(String model, int version) {
+        if (version > weights(model).orElse(0)) {
+            observedWeights.put(model, version);
+            cache.clear();
+        }
+    }
+
+    /**
+     * Notes that a request was sent.
+     *
+     * @param tokens the memory that it needs; 0 for a plain call
+     */
+    public void sent(long tokens) {
+        running++;
+        runningTokens += tokens;
+    }
+
+    /**
+     * Notes that a request has ended.
+     *
+     * @param tokens the memory that it needed
+     */
+    public void ended(long tokens) {
+        running--;
+        runningTokens -= tokens;
+    }
+
+    /** Notes an answer. */
+    public void succeeded() {
+        failuresInRow = 0;
+        suspended = false;
+        failureRate -= failureRate * FAILURE_WEIGHT;
+    }
+
+    /** Notes an answer that was an error or broken, from a server that can be reached. */
+    public void failed() {
+        failureRate += (1 - failureRate) * FAILURE_WEIGHT;
+    }
+
+    /**
+     * Notes that the server could not be reached, and suspends it, longer after each failure.
+     *
+     * @param nowNanos the time
+     */
+    public void unreachable(long nowNanos) {
+        failed();
+        long factor = 1L << Math.min(failuresInRow, 8);
+        failuresInRow++;
+        suspend(nowNanos, min(FIRST_SUSPENSION.multipliedBy(factor), LONGEST_SUSPENSION));
+    }
+
+    /**
+     * Notes that the server turned a request away, and suspends it for a short while.
+     *
+     * @param nowNanos the time
+     * @param length how long to avoid it
+     */
+    public void turnedAway(long nowNanos, Duration length) {
+        suspend(nowNanos, length);
+    }
+
+    private void suspend(long nowNanos, Duration length) {
+        suspended = true;
+        suspendedUntilNanos = nowNanos + length.toNanos();
+    }
+
+    private static Duration min(Duration first, Duration second) {
+        return first.compareTo(second) < 0 ? first : second;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/forward/AttemptEnd.java
@@ -0,0 +1,76 @@
+package org.geraniumford.core.forward;
+
+import org.geraniumford.core.verdict.Verdict;
+
+/** How one try at a backend server ended without a usable answer. */
+public sealed interface AttemptEnd {
+    // -- queries
+
+    /**
+     * Says what is known of the request's effect there.
+     *
+     * @return the verdict on this try
+     */
+    Verdict verdict();
+
+    /**
+     * Says whether the request reached the server, so that another try counts as a repeat.
+     *
+     * @return false if no byte of it was sent
+     */
+    boolean arrived();
+
+    // -- variants
+
+    /** No connection could be opened; nothing was sent. */
+    record Unreachable() implements AttemptEnd {
+        @Override
+        public Verdict verdict() {
+            return Verdict.NOT_RUN;
+        }
+
+        @Override
+        public boolean arrived() {
+            return false;
+        }
+    }
+
+    /** The server said that it did not run the request. */
+    record TurnedAway() implements AttemptEnd {
+        @Override
+        public Verdict verdict() {
+            return Verdict.NOT_RUN;
+        }
+
+        @Override
+        public boolean arrived() {
+            return true;
+        }
+    }
+
+    /** The connection or the answer broke, or the server stayed silent, after the request was sent. */
+    record Broken() implements AttemptEnd {
+        @Override
+        public Verdict verdict() {
+            return Verdict.MAY_HAVE_RUN;
+        }
+
+        @Override
+        public boolean arrived() {
+            return true;
+        }
+    }
+
+    /** The server ran the request and answered with an error of its own. */
+    record ErrorAnswer() implements AttemptEnd {
+        @Override
+        public Verdict verdict() {
+            return Verdict.RAN;
+        }
+
+        @Override
+        public boolean arrived() {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/service/WeightedService.java
@@ -0,0 +1,19 @@
+package org.geraniumford.core.service;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * One target of a route's traffic split.
+ *
+ * @param service the name of the service
+ * @param weight its share of the traffic relative to the other targets, 0 or more
+ */
+public record WeightedService(String service, int weight) {
+    /** Checks the components. */
+    public WeightedService {
+        requireNonNull(service, "service is null");
+        if (weight < 0) {
+            throw new IllegalArgumentException("weight " + weight + " is negative");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Decoded.java
@@ -0,0 +1,30 @@
+package org.geraniumford.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+/** The outcome of reading a caller's request. */
+public sealed interface Decoded {
+    /**
+     * A request that can be served.
+     *
+     * @param request what it says
+     */
+    record Valid(InboundRequest request) implements Decoded {
+        /** Checks the components. */
+        public Valid {
+            requireNonNull(request, "request is null");
+        }
+    }
+
+    /**
+     * A request that cannot be understood.
+     *
+     * @param problem what is wrong and where
+     */
+    record Malformed(String problem) implements Decoded {
+        /** Checks the components. */
+        public Malformed {
+            requireNonNull(problem, "problem is null");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/EngineDispatch.java
@@ -0,0 +1,24 @@
+package org.geraniumford.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+/**
+ * What a model engine is told beside the request.
+ *
+ * @param scope the scope within which the prompt's parts may be found in a cache
+ * @param weights the version of the weights that the engine must hold; empty if it is not known
+ * @param fetchFrom where the engine may fetch cached parts, IP:PORT
+ * @param saveTo where the engine saves the parts that it reads, IP:PORT
+ */
+public record EngineDispatch(String scope, OptionalInt weights, Optional<String> fetchFrom, Optional<String> saveTo) {
+    /** Checks the components. */
+    public EngineDispatch {
+        requireNonNull(scope, "scope is null");
+        requireNonNull(weights, "weights is null");
+        requireNonNull(fetchFrom, "fetchFrom is null");
+        requireNonNull(saveTo, "saveTo is null");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -0,0 +1,207 @@
+package org.geraniumford.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.geraniumford.core.fleet.ServerChooser;
+import org.geraniumford.core.retry.SharedRetryBudget;
+import org.geraniumford.core.service.ApiCustomer;
+import org.geraniumford.core.service.Route;
+import org.geraniumford.core.service.RoutingTable;
+import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.transport.forward.CallerExchange;
+import org.geraniumford.transport.forward.CallerHandler;
+import org.geraniumford.transport.forward.ConnectionPool;
+import org.geraniumford.transport.log.LogEvent;
+
+/** Takes callers' requests, finds their routes and customers, and passes them on. Runs on one network thread. */
+public final class Gateway implements CallerHandler {
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
+
+    private final EventLoop loop;
+    private final GatewayState state;
+    private final Dialect dialect;
+    private final GatewayBounds bounds;
+    private final GatewayMetrics metrics;
+    private final ConnectionPool pool;
+    private final RandomGenerator random;
+    private final ServerChooser chooser;
+    private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
+    private final Set<ForwardedRequest> active = new HashSet<>();
+
+    private Gateway(
+            EventLoop loop,
+            GatewayState state,
+            Dialect dialect,
+            GatewayBounds bounds,
+            GatewayMetrics metrics,
+            RandomGenerator random) {
+        this.loop = loop;
+        this.state = state;
+        this.dialect = dialect;
+        this.bounds = bounds;
+        this.metrics = metrics;
+        this.random = random;
+        this.pool = ConnectionPool.of(loop);
+        this.chooser = ServerChooser.of(random);
+    }
+
+    // -- construction
+
+    /**
+     * Creates a gateway.
+     *
+     * @param loop the network thread that everything runs on
+     * @param state what is believed of the installation
+     * @param dialect the installation's header fields
+     * @param bounds the installation's bounds
+     * @param metrics counts what happens
+     * @param random draws services and breaks ties
+     * @return a gateway that serves once the state is ready
+     */
+    public static Gateway of(
+            EventLoop loop,
+            GatewayState state,
+            Dialect dialect,
+            GatewayBounds bounds,
+            GatewayMetrics metrics,
+            RandomGenerator random) {
+        return new Gateway(
+                requireNonNull(loop, "loop is null"),
+                requireNonNull(state, "state is null"),
+                requireNonNull(dialect, "dialect is null"),
+                requireNonNull(bounds, "bounds is null"),
+                requireNonNull(metrics, "metrics is null"),
+                requireNonNull(random, "random is null"));
+    }
+
+    // -- commands
+
+    @Override
+    public void handle(CallerExchange exchange) {
+        metrics.requested();
+        Decoded decoded = dialect.decode(exchange.request());
+        if (decoded instanceof Decoded.Valid valid) {
+            admit(exchange, valid.request());
+        } else if (decoded instanceof Decoded.Malformed malformed) {
+            refuse(exchange, "", Refusal.notRun(Reason.MALFORMED_REQUEST, malformed.problem()));
+        }
+    }
+
+    private void admit(CallerExchange exchange, InboundRequest request) {
+        Optional<RoutingTable> table = state.table();
+        if (table.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.notRun(Reason.NO_CONFIGURATION, "no configuration yet"));
+            return;
+        }
+        Optional<Route> route = table.get().route(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuse(exchange, request.id(), Refusal.notRun(Reason.UNKNOWN_PATH, "no route"));
+            return;
+        }
+        Optional<ApiCustomer> customer = request.key().flatMap(table.get()::customer);
+        if (customer.isEmpty() && table.get().keyed() && !route.get().anonymous()) {
+            refuse(exchange, request.id(), Refusal.notRun(Reason.UNAUTHENTICATED, "unknown key"));
+            return;
+        }
+        Admitted admitted = new Admitted(
+                request,
+                route.get(),
+                route.get().service(random.nextDouble()),
+                customer,
+                timeLimit(request, route.get()),
+                table.get().version());
+        budget(admitted.service()).request(System.nanoTime());
+        ForwardedRequest forwarded = new ForwardedRequest(this, exchange, admitted);
+        active.add(forwarded);
+        forwarded.start();
+    }
+
+    private static Duration timeLimit(InboundRequest request, Route route) {
+        Duration caller = request.timeLeft().orElse(LONGEST_WAIT);
+        return caller.compareTo(route.timeout()) < 0 ? caller : route.timeout();
+    }
+
+    private void refuse(CallerExchange exchange, String requestId, Refusal refusal) {
+        LogEvent.of("refused")
+                .with("request", requestId)
+                .with("reason", refusal.reason().label())
+                .with("configuration", state.table().map(RoutingTable::version).orElse(0L))
+                .info();
+        metrics.refused(refusal.reason());
+        exchange.respond(dialect.refuse(refusal, requestId));
+        exchange.release();
+    }
+
+    /**
+     * Closes the idle connections past their time and forgets servers that did not come back. To be called a few times
+     * a second.
+     */
+    public void tick() {
+        pool.sweep();
+        state.directory().expire(System.nanoTime());
+    }
+
+    // -- queries
+
+    /**
+     * Returns how many requests are being served.
+     *
+     * @return a count
+     */
+    public int active() {
+        return active.size();
+    }
+
+    // -- what a forwarded request uses
+
+    boolean takeRepeat(String service) {
+        return budget(service).take(System.nanoTime(), state.entries());
+    }
+
+    private SharedRetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service, name -> SharedRetryBudget.of(bounds.retryRatio(), bounds.retryWindow(), bounds.retrySlack()));
+    }
+
+    void ended(ForwardedRequest request) {
+        active.remove(request);
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    GatewayState state() {
+        return state;
+    }
+
+    Dialect dialect() {
+        return dialect;
+    }
+
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
+    ConnectionPool pool() {
+        return pool;
+    }
+
+    ServerChooser chooser() {
+        return chooser;
+    }
+
+    FullHttpRequest encode(CallerExchange exchange, Dispatch dispatch) {
+        return dialect.encode(exchange.request(), dispatch);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayBounds.java
@@ -0,0 +1,21 @@
+package org.geraniumford.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+
+/**
+ * The bounds that an installation sets on the gateway.
+ *
+ * @param retryRatio repeats allowed for each request
+ * @param retryWindow the span in which repeats are counted
+ * @param retrySlack repeats allowed to the whole system in a window besides the ratio
+ * @param grace how long a process may run on after it was told to stop
+ */
+public record GatewayBounds(double retryRatio, Duration retryWindow, double retrySlack, Duration grace) {
+    /** Checks the components. */
+    public GatewayBounds {
+        requireNonNull(retryWindow, "retryWindow is null");
+        requireNonNull(grace, "grace is null");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -0,0 +1,189 @@
+package org.geraniumford.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.service.CacheStore;
+import org.geraniumford.core.service.CallerLimits;
+import org.geraniumford.core.service.RoutingTable;
+import org.geraniumford.core.service.ServiceDefinition;
+import org.geraniumford.transport.log.LogEvent;
+
+/** What the gateway believes of its installation. Used on its network thread only. */
+public final class GatewayState {
+    private final String failureDomain;
+    private final ServerDirectory directory =
+            ServerDirectory.empty(name -> table().flatMap(t -> t.service(name)).flatMap(ServiceDefinition::engine));
+    private final Map<String, Integer> namedWeights = new HashMap<>();
+    private RoutingTable table;
+    private boolean serversKnown;
+    private boolean cacheStoreUp = true;
+    private int entries = 1;
+
+    private GatewayState(String failureDomain) {
+        this.failureDomain = failureDomain;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a state without beliefs.
+     *
+     * @param failureDomain where this entry stands
+     * @return a new state
+     */
+    public static GatewayState empty(String failureDomain) {
+        return new GatewayState(requireNonNull(failureDomain, "failureDomain is null"));
+    }
+
+    // -- queries
+
+    /**
+     * Returns where this entry stands.
+     *
+     * @return the name of the failure domain
+     */
+    public String failureDomain() {
+        return failureDomain;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the table, or empty before the first one
+     */
+    public Optional<RoutingTable> table() {
+        return Optional.ofNullable(table);
+    }
+
+    /**
+     * Returns the bounds on callers in force.
+     *
+     * @return the configured bounds, or the default ones before the first configuration
+     */
+    public CallerLimits limits() {
+        return table().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    /**
+     * Returns the backend servers.
+     *
+     * @return the directory
+     */
+    public ServerDirectory directory() {
+        return directory;
+    }
+
+    /**
+     * Returns the newest version named for a model's weights.
+     *
+     * @param model the model
+     * @return the version; 0 if none was named
+     */
+    public int namedWeights(String model) {
+        return namedWeights.getOrDefault(model, 0);
+    }
+
+    /**
+     * Returns every named version.
+     *
+     * @return the newest version by model
+     */
+    public Map<String, Integer> namedWeights() {
+        return Map.copyOf(namedWeights);
+    }
+
+    /**
+     * Returns the store of cached parts, if it answers.
+     *
+     * @return the store, or empty if there is none or it is down
+     */
+    public Optional<CacheStore> cacheStore() {
+        return cacheStoreUp ? table().flatMap(RoutingTable::cacheStore) : Optional.empty();
+    }
+
+    /**
+     * Says whether requests can be served.
+     *
+     * @return true once a configuration and the list of servers are known
+     */
+    public boolean ready() {
+        return table != null && serversKnown;
+    }
+
+    /**
+     * Returns how many entries share the budgets.
+     *
+     * @return the count, this entry included
+     */
+    public int entries() {
+        return entries;
+    }
+
+    // -- commands
+
+    /**
+     * Takes a configuration; an older one than that in force is ignored.
+     *
+     * @param newer the configuration
+     * @param source who told of it, for the log
+     * @return true if it is now in force
+     */
+    public boolean configured(RoutingTable newer, String source) {
+        if (table != null && newer.version() <= table.version()) {
+            return false;
+        }
+        LogEvent.of("configuration")
+                .with("version", newer.version())
+                .with("before", table == null ? 0 : table.version())
+                .with("source", source)
+                .info();
+        table = newer;
+        return true;
+    }
+
+    /**
+     * Takes a named version of a model's weights.
+     *
+     * @param model the model
+     * @param version the version
+     */
+    public void weightsNamed(String model, int version) {
+        if (version > namedWeights(model)) {
+            LogEvent.of("weights_named")
+                    .with("model", model)
+                    .with("version", version)
+                    .info();
+            namedWeights.put(model, version);
+        }
+    }
+
+    /** Notes that the list of servers has been read. */
+    public void serversListed() {
+        serversKnown = true;
+    }
+
+    /**
+     * Notes whether the store of cached parts answers.
+     *
+     * @param up true if it does
+     */
+    public void cacheStoreAnswers(boolean up) {
+        if (up != cacheStoreUp) {
+            LogEvent.of(up ? "cache_store_regained" : "cache_store_lost").info();
+        }
+        cacheStoreUp = up;
+    }
+
+    /**
+     * Notes how many entries share the budgets.
+     *
+     * @param count the count, this entry included
+     */
+    public void entriesCounted(int count) {
+        entries = Math.max(1, count);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/InboundRequest.java
@@ -0,0 +1,35 @@
+package org.geraniumford.daemon.gateway;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.geraniumford.core.prompt.Prompt;
+
+/**
+ * What a caller's request says, apart from its bytes.
+ *
+ * @param id names the request
+ * @param host the host name that it is sent to
+ * @param path the path without the query
+ * @param key the API key; empty if it bears none
+ * @param timeLeft how long the caller waits, counted from the request's arrival; empty if it does not tell
+ * @param prompt the prompt's shape; empty for a plain call
+ */
+public record InboundRequest(
+        String id,
+        String host,
+        String path,
+        Optional<String> key,
+        Optional<Duration> timeLeft,
+        Optional<Prompt> prompt) {
+    /** Checks the components. */
+    public InboundRequest {
+        requireNonNull(id, "id is null");
+        requireNonNull(host, "host is null");
+        requireNonNull(path, "path is null");
+        requireNonNull(key, "key is null");
+        requireNonNull(timeLeft, "timeLeft is null");
+        requireNonNull(prompt, "prompt is null");
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallAnswer.java
@@ -0,0 +1,32 @@
+package org.geraniumford.transport.forward;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A complete answer to a call of the router's own.
+ *
+ * @param status the HTTP status
+ * @param headers the header fields
+ * @param body the bytes, not to be changed
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record CallAnswer(int status, HttpHeaders headers, byte[] body) {
+    /** Checks the components. */
+    public CallAnswer {
+        requireNonNull(headers, "headers is null");
+        requireNonNull(body, "body is null");
+    }
+
+    // -- queries
+
+    /**
+     * Says whether the call succeeded.
+     *
+     * @return true for a status from 200 to 299
+     */
+    public boolean succeeded() {
+        return status >= 200 && status < 300;
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
@@ -0,0 +1,235 @@
+package org.geraniumford.transport.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.geraniumford.core.service.CallerLimits;
+
+/** One connection of a caller: gathers requests within the limits and answers them one at a time, in order. */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    private final Supplier<CallerLimits> limits;
+    private final CallerHandler handler;
+    private final CallerServer server;
+    private final Deque<Object> waiting = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private ByteBuf body;
+    private long headNanos;
+    private boolean rejected;
+    private CallerExchange current;
+    private ScheduledFuture<?> timer;
+
+    CallerConnection(Supplier<CallerLimits> limits, CallerHandler handler, CallerServer server) {
+        this.limits = limits;
+        this.handler = handler;
+        this.server = server;
+    }
+
+    // -- queries
+
+    boolean closing() {
+        return server.closing();
+    }
+
+    // -- commands
+
+    void closeIfIdle() {
+        if (current == null && head == null && context != null) {
+            context.close();
+        }
+    }
+
+    void answered() {
+        current = null;
+        context.channel().config().setAutoRead(true);
+        restartIdleTimer();
+        while (current == null && !waiting.isEmpty()) {
+            read(waiting.poll());
+        }
+    }
+
+    // -- events
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        restartIdleTimer();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext reading, Object message) {
+        if (current != null) {
+            waiting.add(message);
+            context.channel().config().setAutoRead(false);
+        } else {
+            read(message);
+        }
+    }
+
+    private void read(Object message) {
+        try {
+            if (rejected) {
+                return;
+            }
+            if (((HttpObject) message).decoderResult().isFailure()) {
+                rejectMalformed(((HttpObject) message).decoderResult().cause());
+                return;
+            }
+            if (message instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (message instanceof HttpContent part && head != null) {
+                append(part);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        if (ambiguous(request)) {
+            reject(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        if (HttpUtil.isContentLengthSet(request)
+                && HttpUtil.getContentLength(request, 0L) > limits.get().maxBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        head = request;
+        headNanos = System.nanoTime();
+        body = Unpooled.EMPTY_BUFFER;
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    /** Finds requests whose end two readers could see at different places. */
+    private static boolean ambiguous(HttpRequest request) {
+        boolean length = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean coding = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+        return (length && coding)
+                || (coding && !HttpUtil.isTransferEncodingChunked(request))
+                || request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() > 1
+                || request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
+    }
+
+    private void append(HttpContent part) {
+        if (body.readableBytes() + part.content().readableBytes() > limits.get().maxBodyBytes()) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        if (part.content().isReadable()) {
+            body = Unpooled.wrappedBuffer(body, part.content().retain());
+        }
+        if (part instanceof LastHttpContent) {
+            complete();
+        }
+    }
+
+    private void complete() {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                head.protocolVersion(),
+                head.method(),
+                head.uri(),
+                body,
+                head.headers(),
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+        current = new CallerExchange(context.channel(), request, headNanos, this);
+        head = null;
+        body = null;
+        stopTimer();
+        handler.handle(current);
+    }
+
+    private void rejectMalformed(Throwable cause) {
+        boolean tooLong = cause instanceof TooLongFrameException;
+        reject(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
+    }
+
+    private void reject(HttpResponseStatus status) {
+        rejected = true;
+        dropPartial();
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        HttpUtil.setContentLength(response, 0);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        server.rejected(status.code());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        if (current != null) {
+            current.writableChanged();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext inactive) {
+        stopTimer();
+        dropPartial();
+        waiting.forEach(ReferenceCountUtil::release);
+        waiting.clear();
+        server.closed(this);
+        if (current != null) {
+            CallerExchange left = current;
+            current = null;
+            left.left();
+        }
+    }
+
+    private void dropPartial() {
+        head = null;
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    // -- timers
+
+    private void restartIdleTimer() {
+        stopTimer();
+        timer = context.executor()
+                .schedule(() -> context.close(), limits.get().idleTimeout().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/forward/HttpCaller.java
@@ -0,0 +1,156 @@
+package org.geraniumford.transport.forward;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Makes calls of the router's own over kept connections. Used on its network thread only. */
+public final class HttpCaller {
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+    private final EventLoop loop;
+    private final ConnectionPool pool;
+
+    private HttpCaller(EventLoop loop) {
+        this.loop = loop;
+        this.pool = ConnectionPool.of(loop);
+    }
+
+    // -- construction
+
+    /**
+     * Creates a caller without connections.
+     *
+     * @param loop the network thread that calls are made on and futures complete on
+     * @return a new caller
+     */
+    public static HttpCaller of(EventLoop loop) {
+        return new HttpCaller(requireNonNull(loop, "loop is null"));
+    }
+
+    // -- commands
+
+    /**
+     * Makes a call without hidden retries.
+     *
+     * @param method the method
+     * @param address the server, IP:PORT
+     * @param path the path and query
+     * @param headers further header fields
+     * @param body the body; empty for none
+     * @param timeout the longest time that the call may take
+     * @return the answer, or an {@link IOException} or {@link TimeoutException} after which the call may have had an
+     *     effect
+     */
+    public CompletableFuture<CallAnswer> call(
+            HttpMethod method,
+            String address,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            Duration timeout) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, address);
+        headers.forEach((name, value) -> request.headers().set(name, value));
+        if (body.length > 0 || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        }
+        Call call = new Call(request);
+        call.timer = loop.schedule(call::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        pool.acquire(address, call::connected, call::failed);
+        return call.answer;
+    }
+
+    /** Closes the idle connections that are past their time. */
+    public void sweep() {
+        pool.sweep();
+    }
+
+    private static final class Call implements AnswerListener {
+        private final FullHttpRequest request;
+        private final CompletableFuture<CallAnswer> answer = new CompletableFuture<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private ScheduledFuture<?> timer;
+        private ServerConnection connection;
+        private HttpResponse head;
+
+        Call(FullHttpRequest request) {
+            this.request = request;
+        }
+
+        void connected(ServerConnection opened) {
+            if (answer.isDone()) {
+                opened.abort();
+                return;
+            }
+            connection = opened;
+            opened.send(request, this);
+        }
+
+        void failed(Throwable cause) {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            answer.completeExceptionally(cause);
+        }
+
+        void timedOut() {
+            if (connection != null) {
+                connection.abort();
+            }
+            answer.completeExceptionally(new TimeoutException("no answer in time"));
+        }
+
+        @Override
+        public boolean accepts(HttpResponse received) {
+            return true;
+        }
+
+        @Override
+        public void head(HttpResponse received) {
+            head = received;
+        }
+
+        @Override
+        public void content(ByteBuf part) {
+            if (body.size() + part.readableBytes() > MAX_ANSWER_BYTES) {
+                connection.abort();
+                failed(new IOException("the answer is too large"));
+                return;
+            }
+            byte[] bytes = new byte[part.readableBytes()];
+            part.getBytes(part.readerIndex(), bytes);
+            body.writeBytes(bytes);
+        }
+
+        @Override
+        public void end() {
+            timer.cancel(false);
+            answer.complete(new CallAnswer(head.status().code(), head.headers(), body.toByteArray()));
+        }
+
+        @Override
+        public void broken(String reason) {
+            failed(new IOException(reason));
+        }
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/forward/KeepAliveTimeout.java
@@ -0,0 +1,27 @@
+package org.geraniumford.transport.forward;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Reads how long the other side of a connection keeps it open while idle. */
+final class KeepAliveTimeout {
+    /** The part of the announced time after which a connection is not used any more. */
+    private static final double SAFE_PART = 0.7;
+
+    private static final String FIELD = "timeout=";
+
+    private KeepAliveTimeout() {}
+
+    // -- reading
+
+    static Optional<Duration> parse(String header) {
+        return Arrays.stream(header.split(","))
+                .map(String::strip)
+                .filter(item -> item.startsWith(FIELD))
+                .map(item -> item.substring(FIELD.length()))
+                .filter(seconds -> seconds.matches("[0-9]{1,6}"))
+                .map(seconds -> Duration.ofMillis((long) (Integer.parseInt(seconds) * 1000L * SAFE_PART)))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -0,0 +1,204 @@
+package org.geraniumford.transport.forward;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** One connection to a backend server, which carries one request at a time. Used on its network thread only. */
+public final class ServerConnection extends ChannelInboundHandlerAdapter {
+    private final Channel channel;
+    private final Consumer<ServerConnection> idleListener;
+    private final Consumer<ServerConnection> closedListener;
+    private AnswerListener listener;
+    private boolean headRequest;
+    private boolean skipping;
+    private boolean answering;
+    private boolean reusable = true;
+    private boolean finished;
+    private String failure = "closed";
+    private Duration keepAlive;
+    private long idleSinceNanos;
+
+    ServerConnection(
+            Channel channel,
+            Duration keepAlive,
+            Consumer<ServerConnection> idleListener,
+            Consumer<ServerConnection> closedListener) {
+        this.channel = channel;
+        this.keepAlive = keepAlive;
+        this.idleListener = idleListener;
+        this.closedListener = closedListener;
+    }
+
+    // -- queries
+
+    boolean usable(long nowNanos) {
+        return channel.isActive() && reusable && nowNanos - idleSinceNanos < keepAlive.toNanos();
+    }
+
+    boolean answersHead() {
+        return headRequest;
+    }
+
+    // -- commands
+
+    /**
+     * Sends a request. The listener is called until {@link AnswerListener#end} or {@link AnswerListener#broken}.
+     *
+     * @param request the request; released once written
+     * @param answers receives the answer
+     */
+    public void send(FullHttpRequest request, AnswerListener answers) {
+        listener = requireNonNull(answers, "answers is null");
+        headRequest = request.method().equals(HttpMethod.HEAD);
+        finished = false;
+        channel.writeAndFlush(request).addListener(written -> {
+            if (!written.isSuccess()) {
+                failure = "write failed: " + written.cause().getMessage();
+                channel.close();
+            }
+        });
+    }
+
+    /** Ends the connection; the listener is not called any more. */
+    public void abort() {
+        listener = null;
+        reusable = false;
+        channel.close();
+    }
+
+    /**
+     * Stops or resumes reading, so that a slow caller holds the server back.
+     *
+     * @param reading false to stop
+     */
+    public void reading(boolean reading) {
+        channel.config().setAutoRead(reading);
+    }
+
+    // -- events
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (((HttpObject) message).decoderResult().isFailure()) {
+                fail("not an HTTP answer");
+            } else if (listener == null || finished) {
+                reusable = false;
+                channel.close();
+            } else {
+                read(message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(Object message) {
+        if (message instanceof HttpResponse head) {
+            readHead(head);
+        }
+        if (message instanceof HttpContent part && (answering || skipping)) {
+            readContent(part);
+        }
+    }
+
+    private void readHead(HttpResponse head) {
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        if (!listener.accepts(head)) {
+            skipping = true;
+            reusable = false;
+            return;
+        }
+        answering = true;
+        reusable = reusable && HttpUtil.isKeepAlive(head) && framed(head);
+        noteKeepAlive(head);
+        listener.head(head);
+    }
+
+    private static boolean framed(HttpResponse head) {
+        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
+    private void readContent(HttpContent part) {
+        if (skipping) {
+            skipping = !(part instanceof LastHttpContent);
+            return;
+        }
+        if (part.content().isReadable()) {
+            listener.content(part.content());
+        }
+        if (part instanceof LastHttpContent && listener != null) {
+            answering = false;
+            finished = true;
+            AnswerListener ended = listener;
+            listener = null;
+            ended.end();
+        }
+    }
+
+    private void noteKeepAlive(HttpResponse head) {
+        String value = head.headers().get("Keep-Alive");
+        if (value == null) {
+            return;
+        }
+        KeepAliveTimeout.parse(value).ifPresent(timeout -> keepAlive = timeout);
+    }
+
+    /** Offers the connection for reuse only once all bytes that came with the answer are read. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (!finished) {
+            return;
+        }
+        finished = false;
+        if (reusable && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            idleSinceNanos = System.nanoTime();
+            idleListener.accept(this);
+        } else {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(cause instanceof IOException ? "reset: " + cause.getMessage() : cause.toString());
+    }
+
+    private void fail(String reason) {
+        failure = reason;
+        reusable = false;
+        AnswerListener waiting = listener;
+        listener = null;
+        channel.close();
+        if (waiting != null) {
+            waiting.broken(reason);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        reusable = false;
+        closedListener.accept(this);
+        if (listener != null) {
+            fail(failure);
+        }
+    }
+}
