One holder has engines load newly named weights, under a lease that records orders before they are given

Change: WeightsLease is a row of our own table. A holder writes the intent of each order by compare and set and gives the order within a second of that; a successor sees every order that may still arrive, and spaces its own orders to the same runner by the lease bound. All entries read the row and avoid the runners in it until they hold the weights.

Ruled out: a lease by time alone, since a successor then had to wait out the lease and the spacing before its first order to any runner; orders without the accepted count, since a late order would follow newer ones.

Answers are late while runners load; next.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -55,7 +55,7 @@
         List<ServerState> untried = directory.ready(query.service()).stream()
                 .filter(state -> !query.excluded().contains(state.server().id()))
                 .toList();
-        return cheapest(untried.stream().filter(state -> !state.suspended(nowNanos)), query)
+        return cheapest(untried.stream().filter(state -> available(state, nowNanos)), query)
                 .or(() -> query.excluded().isEmpty() ? cheapest(untried.stream(), query) : Optional.empty());
     }
 
@@ -66,6 +66,10 @@
                 .map(Scored::state);
     }
 
+    private static boolean available(ServerState state, long nowNanos) {
+        return !state.suspended(nowNanos) && !state.loading(nowNanos);
+    }
+
     private static double cost(ServerState state, ServerQuery query) {
         double distance = state.server().failureDomain().equals(query.failureDomain()) ? 0 : DISTANCE_COST;
         return distance
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -23,6 +23,8 @@
     private double failureRate;
     private long suspendedUntilNanos;
     private boolean suspended;
+    private long loadingUntilNanos;
+    private boolean loading;
     private final Map<String, Integer> observedWeights = new HashMap<>();
 
     private ServerState(BackendServer server, CacheBelief cache) {
@@ -115,8 +117,28 @@
         return suspended && nowNanos - suspendedUntilNanos < 0;
     }
 
+    /**
+     * Says whether the server is believed to load weights, during which it runs nothing.
+     *
+     * @param nowNanos the time
+     * @return true from the order until the weights are in place or the order is too old
+     */
+    public boolean loading(long nowNanos) {
+        return loading && nowNanos - loadingUntilNanos < 0;
+    }
+
     // -- commands
 
+    /**
+     * Notes that the server was ordered to load weights.
+     *
+     * @param untilNanos when the belief ends if nothing else is heard
+     */
+    public void ordered(long untilNanos) {
+        loading = true;
+        loadingUntilNanos = untilNanos;
+    }
+
     /**
      * Takes a newer listing of the same incarnation.
      *
@@ -136,6 +158,7 @@
     public void holdsWeights(String model, int version) {
         if (version > weights(model).orElse(0)) {
             observedWeights.put(model, version);
+            loading = false;
             cache.clear();
         }
     }
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
@@ -0,0 +1,333 @@
+package org.geraniumford.daemon.weights;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.RolloutCandidate;
+import org.geraniumford.core.weights.RolloutPlan;
+import org.geraniumford.core.weights.WeightsLease;
+import org.geraniumford.daemon.gateway.GatewayState;
+import org.geraniumford.transport.log.LogEvent;
+
+/**
+ * Has engines load newly named weights, a few at a time. Every entry runs one; the lease row lets one of them act. Runs
+ * on one network thread.
+ */
+public final class WeightsKeeper {
+    /** How long after the write of an intent its order may be given. */
+    private static final Duration ISSUE_WINDOW = Duration.ofSeconds(1);
+
+    /** How long a holder may leave the row unwritten while servers are outdated before another entry takes over. */
+    private static final Duration PATIENCE = Duration.ofMillis(2500);
+
+    /** The spread over which entries begin, so that one of them writes first. */
+    private static final Duration SPREAD = Duration.ofMillis(600);
+
+    /** How long servers are avoided after an order if nothing else is heard of them. */
+    private static final Duration LOADING_BELIEF = Duration.ofSeconds(5);
+
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(350);
+    private static final Duration ORDER_LIMIT = Duration.ofSeconds(6);
+    private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
+
+    private final String host;
+    private final GatewayState state;
+    private final LeaseRow row;
+    private final EngineOrders engines;
+    private final Duration spacing;
+    private final RandomGenerator random;
+    private final Map<String, OrderedServer> ordered = new HashMap<>();
+    private final List<OrderIntent> finished = new ArrayList<>();
+    private WeightsLease lease = WeightsLease.empty();
+    private long leaseVersion;
+    private boolean known;
+    private boolean writing;
+    private boolean stopped;
+    private long beginNanos;
+    private boolean waiting;
+    private long lastWriteNanos;
+
+    private WeightsKeeper(
+            String host,
+            GatewayState state,
+            LeaseRow row,
+            EngineOrders engines,
+            Duration leaseBound,
+            RandomGenerator random) {
+        this.host = host;
+        this.state = state;
+        this.row = row;
+        this.engines = engines;
+        this.spacing = leaseBound.plus(ISSUE_WINDOW).plusMillis(500);
+        this.random = random;
+    }
+
+    // -- construction
+
+    /**
+     * Creates a keeper.
+     *
+     * @param host the name of this host
+     * @param state tells of servers and named weights
+     * @param row the lease
+     * @param engines takes orders
+     * @param leaseBound the time that must pass between orders of two holders to one server
+     * @param random spreads the entries
+     * @return a keeper that acts on {@link #tick}
+     */
+    public static WeightsKeeper of(
+            String host,
+            GatewayState state,
+            LeaseRow row,
+            EngineOrders engines,
+            Duration leaseBound,
+            RandomGenerator random) {
+        return new WeightsKeeper(
+                requireNonNull(host, "host is null"),
+                requireNonNull(state, "state is null"),
+                requireNonNull(row, "row is null"),
+                requireNonNull(engines, "engines is null"),
+                requireNonNull(leaseBound, "leaseBound is null"),
+                requireNonNull(random, "random is null"));
+    }
+
+    // -- events
+
+    /**
+     * Takes the lease row as the store tells of it.
+     *
+     * @param newer the row's value
+     * @param version the row's version; 0 if it does not exist
+     */
+    public void leaseRead(WeightsLease newer, long version) {
+        known = true;
+        if (version < leaseVersion) {
+            return;
+        }
+        lease = newer;
+        leaseVersion = version;
+        if (!newer.holder().equals(host)) {
+            ordered.clear();
+            finished.clear();
+        }
+        newer.intents().forEach(this::believe);
+    }
+
+    /** Servers are avoided from the record of an order until they hold the weights. */
+    private void believe(OrderIntent intent) {
+        state.directory().find(intent.server()).ifPresent(server -> {
+            long age = row.nowMillis() - intent.recordedMillis();
+            if (intent.done()) {
+                server.holdsWeights(intent.model(), intent.version());
+            } else if (age < LOADING_BELIEF.toMillis()
+                    && server.weights(intent.model()).orElse(0) < intent.version()) {
+                server.ordered(System.nanoTime()
+                        + LOADING_BELIEF.minusMillis(Math.max(0, age)).toNanos());
+            }
+        });
+    }
+
+    // -- commands
+
+    /** Gives no further orders, as before the process ends. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Does what is due. To be called several times a second. */
+    public void tick() {
+        if (stopped || !known) {
+            return;
+        }
+        ordered.values().removeIf(OrderedServer::over);
+        ordered.values().forEach(OrderedServer::poll);
+        if (!writing && (!outdated().isEmpty() || !finished.isEmpty())) {
+            act();
+        } else if (outdated().isEmpty()) {
+            waiting = false;
+        }
+    }
+
+    private void act() {
+        long now = System.nanoTime();
+        boolean own = lease.holder().equals(host);
+        if (!own && lease.fresh(row.nowMillis(), PATIENCE)) {
+            waiting = false;
+            return;
+        }
+        if (!own && !waiting) {
+            waiting = true;
+            beginNanos = now + (long) (SPREAD.toNanos() * random.nextDouble());
+        }
+        if ((!own && now - beginNanos < 0) || now - lastWriteNanos < WRITE_INTERVAL.toNanos()) {
+            return;
+        }
+        writeIntents(now);
+    }
+
+    private void writeIntents(long nowNanos) {
+        long storeNow = row.nowMillis();
+        List<OrderIntent> orders = state.namedWeights().entrySet().stream()
+                .flatMap(named -> orders(named.getKey(), named.getValue(), storeNow).stream())
+                .toList();
+        List<OrderIntent> written = new ArrayList<>(finished);
+        written.addAll(orders);
+        if (written.isEmpty()) {
+            return;
+        }
+        WeightsLease next = lease.next(host, storeNow, written, spacing.plus(LOADING_BELIEF));
+        int reported = finished.size();
+        writing = true;
+        lastWriteNanos = nowNanos;
+        row.write(leaseVersion, next).whenComplete((version, failure) -> {
+            writing = false;
+            if (failure != null) {
+                LogEvent.of("lease_unknown").with("cause", failure).info();
+            } else if (version.isEmpty()) {
+                LogEvent.of("lease_lost").with("fence", next.fence()).info();
+                waiting = false;
+            } else {
+                finished.subList(0, Math.min(reported, finished.size())).clear();
+                granted(next, version, orders, nowNanos);
+            }
+        });
+    }
+
+    private void granted(WeightsLease next, OptionalLong version, List<OrderIntent> orders, long writtenNanos) {
+        leaseRead(next, version.getAsLong());
+        LogEvent.of("lease_written")
+                .with("fence", next.fence())
+                .with("orders", orders.size())
+                .info();
+        orders.forEach(order -> state.directory().find(order.server()).ifPresent(server -> {
+            OrderedServer giving = new OrderedServer(server, order, next.fence(), writtenNanos);
+            ordered.put(order.server(), giving);
+            giving.begin();
+        }));
+    }
+
+    // -- planning
+
+    private List<ServerState> outdated() {
+        return state.namedWeights().entrySet().stream()
+                .flatMap(named -> holding(named.getKey()).stream()
+                        .filter(server -> server.weights(named.getKey()).orElse(0) < named.getValue()))
+                .filter(server -> !server.server().leaving())
+                .toList();
+    }
+
+    private List<ServerState> holding(String model) {
+        return state.directory().all().stream()
+                .filter(server -> server.weights(model).isPresent())
+                .toList();
+    }
+
+    private List<OrderIntent> orders(String model, int version, long storeNow) {
+        List<ServerState> holding = holding(model);
+        List<RolloutCandidate> candidates = holding.stream()
+                .filter(server -> !server.server().leaving())
+                .filter(server -> server.weights(model).orElse(0) < version)
+                .filter(server -> !ordered.containsKey(server.server().id()))
+                .filter(server -> lease.mayOrder(server.server().id(), host, storeNow, spacing))
+                .map(server -> new RolloutCandidate(
+                        server.server().id(), server.server().failureDomain(), server.running()))
+                .toList();
+        List<String> loading = ordered.values().stream()
+                .map(order -> order.server.server().failureDomain())
+                .toList();
+        return RolloutPlan.next(candidates, loading, holding.size()).stream()
+                .map(chosen -> new OrderIntent(chosen.server(), model, version, host, storeNow, false))
+                .toList();
+    }
+
+    /** An order from its record in the lease until the engine holds the weights. */
+    private final class OrderedServer {
+        private final ServerState server;
+        private final OrderIntent intent;
+        private final long fence;
+        private final long writtenNanos;
+        private boolean asking;
+        private boolean ended;
+        private long askedNanos;
+
+        OrderedServer(ServerState server, OrderIntent intent, long fence, long writtenNanos) {
+            this.server = server;
+            this.intent = intent;
+            this.fence = fence;
+            this.writtenNanos = writtenNanos;
+        }
+
+        boolean over() {
+            return ended || System.nanoTime() - writtenNanos > ORDER_LIMIT.toNanos();
+        }
+
+        void begin() {
+            ask().thenAccept(report -> {
+                if (done(report) || report.busy() || !lease.holder().equals(host) || !withinWindow()) {
+                    return;
+                }
+                give(report.sequence());
+            });
+        }
+
+        private boolean withinWindow() {
+            return System.nanoTime() - writtenNanos < ISSUE_WINDOW.toNanos();
+        }
+
+        private void give(long sequence) {
+            WeightsOrder order = new WeightsOrder(intent.model(), intent.version(), host, fence, sequence);
+            engines.order(server.server(), order).whenComplete((accepted, failure) -> {
+                LogEvent.of("weights_ordered")
+                        .with("server", intent.server())
+                        .with("version", intent.version())
+                        .with("fence", fence)
+                        .with("sequence", sequence)
+                        .with("outcome", failure == null ? accepted : failure)
+                        .info();
+                ended = failure == null && !accepted;
+            });
+        }
+
+        void poll() {
+            if (!asking && System.nanoTime() - askedNanos > REPORT_INTERVAL.toNanos()) {
+                ask().thenAccept(this::done);
+            }
+        }
+
+        private java.util.concurrent.CompletableFuture<EngineReport> ask() {
+            asking = true;
+            askedNanos = System.nanoTime();
+            return engines.report(server.server()).whenComplete((report, failure) -> {
+                asking = false;
+                if (failure != null) {
+                    LogEvent.of("report_failed")
+                            .with("server", intent.server())
+                            .with("cause", failure)
+                            .info();
+                }
+            });
+        }
+
+        private boolean done(EngineReport report) {
+            boolean holds = report.weights().getOrDefault(intent.model(), 0) >= intent.version() && !report.busy();
+            if (holds && !ended) {
+                ended = true;
+                server.holdsWeights(intent.model(), intent.version());
+                finished.add(intent.carriedOut());
+                LogEvent.of("weights_loaded")
+                        .with("server", intent.server())
+                        .with("version", intent.version())
+                        .info();
+            }
+            return holds;
+        }
+    }
+}
