Entries tell each other their load, configuration, named weights and leaving servers

ServerChooser compares milliseconds of expected waiting over the load of all entries.

Ruled out: polling each runner's report (priced, and 100 ms old); the load in rows of the store (a call each).

--- a/core/src/main/java/org/geraniumford/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/BackendServer.java
@@ -33,4 +33,15 @@
         requireNonNull(failureDomain, "failureDomain is null");
         weights = Map.copyOf(weights);
     }
+
+    // -- combinators
+
+    /**
+     * Returns this server, taking no new work.
+     *
+     * @return a server that is leaving
+     */
+    public BackendServer asLeaving() {
+        return new BackendServer(id, incarnation, service, address, failureDomain, slots, true, weights);
+    }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -7,21 +7,41 @@
 import java.util.stream.Stream;
 import org.geraniumford.core.prompt.Prompt;
 
-/** Chooses the backend server for a request: near first, then unloaded, then with the prompt cached. */
+/**
+ * Chooses the backend server for a request: the one where the first token is expected soonest, with the disadvantages
+ * of each server expressed as milliseconds of waiting. It answers bursts and rollouts, when a few servers look better
+ * than the others to every entry at once: the load is what all entries have in progress, and no advantage outweighs a
+ * queue.
+ */
 public final class ServerChooser {
-    /** The cost of leaving the failure domain, as a share of an engine's memory or of a plain server's slots. */
-    private static final double DISTANCE_COST = 0.25;
+    /** The prompt tokens that an engine reads in a millisecond. */
+    private static final double READ_TOKENS_PER_MS = 100;
 
-    /** The cost of a failure rate of 1, on the same scale. */
-    private static final double FAILURE_COST = 2.0;
+    /** What each running request adds to the time of a step. */
+    private static final double MS_PER_RUNNING = 1.0;
 
-    /** The cost of reading a whole prompt that is nowhere cached, on the same scale. */
-    private static final double MISS_COST = 0.12;
+    /** The cost of sending a byte to another failure domain. */
+    private static final double MS_PER_FAR_BYTE = 0.006;
 
-    /** The cost of weights that are not the newest, on the same scale. */
-    private static final double OLD_WEIGHTS_COST = 0.3;
+    /** The cost of leaving the failure domain with an empty request. */
+    private static final double MS_FAR = 3;
 
-    private static final double TIE_BREAK = 0.01;
+    /** The cost of a failure rate of 1. */
+    private static final double MS_FAILING = 1500;
+
+    /** The cost of weights that are not the newest. */
+    private static final double MS_OLD_WEIGHTS = 60;
+
+    /** The cost of a request that does not fit into the engine's memory beside those that run. */
+    private static final double MS_PREEMPTION = 1000;
+
+    /** The part of an engine's memory that running requests may need before others are preempted. */
+    private static final double USABLE_MEMORY = 0.85;
+
+    /** The cost of a plain call in progress, in place of each slot. */
+    private static final double MS_PER_BUSY_SLOT = 60;
+
+    private static final double MS_TIE_BREAK = 2;
 
     private final RandomGenerator random;
 
@@ -61,7 +81,7 @@
 
     private Optional<ServerState> cheapest(Stream<ServerState> candidates, ServerQuery query) {
         return candidates
-                .map(state -> new Scored(state, cost(state, query) + random.nextDouble() * TIE_BREAK))
+                .map(state -> new Scored(state, cost(state, query) + random.nextDouble() * MS_TIE_BREAK))
                 .min(Comparator.comparingDouble(Scored::cost))
                 .map(Scored::state);
     }
@@ -71,23 +91,30 @@
     }
 
     private static double cost(ServerState state, ServerQuery query) {
-        double distance = state.server().failureDomain().equals(query.failureDomain()) ? 0 : DISTANCE_COST;
+        boolean near = state.server().failureDomain().equals(query.failureDomain());
+        double distance = near ? 0 : MS_FAR + MS_PER_FAR_BYTE * query.requestBytes();
         return distance
-                + FAILURE_COST * state.failureRate() * state.failureRate()
-                + query.prompt()
-                        .map(prompt -> engineCost(state, query, prompt))
-                        .orElseGet(() -> load(state.running(), state.server().slots()));
+                + MS_FAILING * state.failureRate() * state.failureRate()
+                + query.prompt().map(prompt -> engineCost(state, query, prompt)).orElseGet(() -> plainCost(state));
+    }
+
+    private static double plainCost(ServerState state) {
+        int running = state.load().running();
+        int waiting = Math.max(0, running + 1 - state.server().slots());
+        return running + MS_PER_BUSY_SLOT * waiting;
     }
 
     private static double engineCost(ServerState state, ServerQuery query, Prompt prompt) {
+        ServerLoad load = state.load();
         long cached = state.cache().cachedTokens(query.scope(), prompt.parts());
-        double missing = 1 - (double) cached / Math.max(1, prompt.inputTokens());
+        long missing = Math.max(0, prompt.inputTokens() - cached);
         boolean old = state.weights(prompt.model()).orElse(0) < query.newestWeights();
-        return load(state.running(), state.server().slots()) + MISS_COST * missing + (old ? OLD_WEIGHTS_COST : 0);
-    }
-
-    private static double load(int running, int slots) {
-        return (double) running / Math.max(1, slots);
+        boolean full = load.running() >= state.server().slots()
+                || load.tokens() + prompt.totalTokens() > USABLE_MEMORY * state.cacheTokens();
+        return (load.unread() + missing) / READ_TOKENS_PER_MS
+                + MS_PER_RUNNING * load.running()
+                + (old ? MS_OLD_WEIGHTS : 0)
+                + (full ? MS_PREEMPTION : 0);
     }
 
     private record Scored(ServerState state, double cost) {}
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
@@ -79,8 +79,56 @@
         return List.copyOf(byId.values());
     }
 
+    /**
+     * Returns the servers that were seen leaving.
+     *
+     * @return name and incarnation of each one that is still known
+     */
+    public List<LeavingServer> leaving() {
+        return byId.values().stream()
+                .map(ServerState::server)
+                .filter(BackendServer::leaving)
+                .map(server -> new LeavingServer(server.id(), server.incarnation()))
+                .toList();
+    }
+
+    /**
+     * Returns the own load on every server that is not idle.
+     *
+     * @return the loads
+     */
+    public List<ServerLoad> ownLoads() {
+        return byId.values().stream()
+                .map(ServerState::own)
+                .filter(load -> load.running() > 0)
+                .toList();
+    }
+
     // -- commands
 
+    /**
+     * Takes a peer's loads in place of what it told before.
+     *
+     * @param peer the peer's name
+     * @param loads its loads; servers that are missing are idle
+     */
+    public void told(String peer, List<ServerLoad> loads) {
+        byId.values().forEach(state -> state.forget(peer));
+        loads.forEach(load -> find(load.server()).ifPresent(state -> state.told(peer, load)));
+    }
+
+    /**
+     * Takes notice that a server leaves.
+     *
+     * @param leaving the server
+     */
+    public void leaves(LeavingServer leaving) {
+        find(leaving.server())
+                .map(ServerState::server)
+                .filter(server -> server.incarnation() == leaving.incarnation() && !server.leaving())
+                .ifPresent(server -> listed(server.asLeaving()));
+    }
+
     /**
      * Takes a listing.
      *
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -11,6 +11,7 @@
  *
  * @param service the service that must run it
  * @param failureDomain where the entry stands
+ * @param requestBytes the size of the request, which is dear to send far
  * @param prompt the prompt's shape; empty for a plain call
  * @param scope the scope within which the customer's prompt parts are shared
  * @param newestWeights the newest version named for the prompt's model; 0 if none is known
@@ -19,6 +20,7 @@
 public record ServerQuery(
         String service,
         String failureDomain,
+        int requestBytes,
         Optional<Prompt> prompt,
         String scope,
         int newestWeights,
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -17,8 +17,9 @@
 
     private BackendServer server;
     private final CacheBelief cache;
-    private int running;
-    private long runningTokens;
+    private final long cacheTokens;
+    private ServerLoad own;
+    private final Map<String, ServerLoad> others = new HashMap<>();
     private int failuresInRow;
     private double failureRate;
     private long suspendedUntilNanos;
@@ -27,9 +28,11 @@
     private boolean loading;
     private final Map<String, Integer> observedWeights = new HashMap<>();
 
-    private ServerState(BackendServer server, CacheBelief cache) {
+    private ServerState(BackendServer server, CacheBelief cache, long cacheTokens) {
+        this.cacheTokens = cacheTokens;
         this.server = server;
         this.cache = cache;
+        this.own = ServerLoad.idle(server.id());
     }
 
     // -- construction
@@ -43,8 +46,8 @@
      */
     public static ServerState of(BackendServer server, Optional<EngineShape> engine) {
         requireNonNull(server, "server is null");
-        return new ServerState(
-                server, CacheBelief.empty(engine.map(EngineShape::cacheTokens).orElse(0L)));
+        long cacheTokens = engine.map(EngineShape::cacheTokens).orElse(0L);
+        return new ServerState(server, CacheBelief.empty(cacheTokens), cacheTokens);
     }
 
     // -- queries
@@ -68,21 +71,30 @@
     }
 
     /**
-     * Returns how many of this entry's requests the server holds.
+     * Returns the engine's memory for running requests and cached parts.
      *
-     * @return a count of requests
+     * @return a count of tokens; 0 for a plain service
      */
-    public int running() {
-        return running;
+    public long cacheTokens() {
+        return cacheTokens;
     }
 
     /**
-     * Returns the memory that this entry's requests need on the server.
+     * Returns what this entry has in progress there.
      *
-     * @return a count of tokens
+     * @return the own load
      */
-    public long runningTokens() {
-        return runningTokens;
+    public ServerLoad own() {
+        return own;
+    }
+
+    /**
+     * Returns what all entries have in progress there, as far as this one was told.
+     *
+     * @return the sum of the own load and those that peers told of
+     */
+    public ServerLoad load() {
+        return others.values().stream().reduce(own, ServerLoad::plus);
     }
 
     /**
@@ -167,10 +179,19 @@
      * Notes that a request was sent.
      *
      * @param tokens the memory that it needs; 0 for a plain call
+     * @param unread the prompt tokens that the server has to read
+     */
+    public void sent(long tokens, long unread) {
+        own = own.plus(new ServerLoad(server.id(), 1, tokens, unread));
+    }
+
+    /**
+     * Notes that a request's prompt was read or that the request ended before.
+     *
+     * @param unread the tokens noted as unread when it was sent
      */
-    public void sent(long tokens) {
-        running++;
-        runningTokens += tokens;
+    public void read(long unread) {
+        own = own.plus(new ServerLoad(server.id(), 0, 0, -unread));
     }
 
     /**
@@ -179,8 +200,26 @@
      * @param tokens the memory that it needed
      */
     public void ended(long tokens) {
-        running--;
-        runningTokens -= tokens;
+        own = own.plus(new ServerLoad(server.id(), -1, -tokens, 0));
+    }
+
+    /**
+     * Takes what a peer has in progress there.
+     *
+     * @param peer the peer's name
+     * @param load its load
+     */
+    public void told(String peer, ServerLoad load) {
+        others.put(peer, load);
+    }
+
+    /**
+     * Forgets what a peer told.
+     *
+     * @param peer the peer's name
+     */
+    public void forget(String peer) {
+        others.remove(peer);
     }
 
     /** Notes an answer. */
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/weights/NamedWeights.java
@@ -0,0 +1,16 @@
+package org.geraniumford.core.weights;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The newest weights that the operator named for a model.
+ *
+ * @param model the model
+ * @param version the version
+ */
+public record NamedWeights(String model, int version) {
+    /** Checks the components. */
+    public NamedWeights {
+        requireNonNull(model, "model is null");
+    }
+}
--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -3,10 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 import java.util.List;
+import org.geraniumford.core.fleet.LeavingServer;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.prefix.Piece;
 import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.weights.NamedWeights;
 
 /** What entries, sidecars and operators' commands say to each other. */
 public sealed interface Message {
@@ -363,4 +366,23 @@
             long blockedMicros,
             long reportAfterMicros)
             implements Message {}
+
+    // -- gateways
+
+    /**
+     * What an entry tells its peers several times a second.
+     *
+     * @param loads what it has in progress, without idle backend servers
+     * @param leaving the backend servers that it lately saw leaving
+     * @param weights the weights that the operator named
+     */
+    record GatewayPulse(List<ServerLoad> loads, List<LeavingServer> leaving, List<NamedWeights> weights)
+            implements Message {
+        /** Copies the lists. */
+        public GatewayPulse {
+            loads = List.copyOf(loads);
+            leaving = List.copyOf(leaving);
+            weights = List.copyOf(weights);
+        }
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -0,0 +1,107 @@
+package org.geraniumford.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.geraniumford.core.prompt.Prompt;
+import org.geraniumford.core.prompt.PromptPart;
+import org.geraniumford.core.service.EngineShape;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class ServerChooserTest {
+    private static final long NOW = 1_000_000_000L;
+    private static final Prompt LONG =
+            new Prompt("model", 9000, 100, List.of(new PromptPart("house", 6000), new PromptPart("own", 3000)));
+
+    private final ServerDirectory directory = ServerDirectory.empty(name -> Optional.of(new EngineShape(64, 100_000)));
+    private final ServerChooser chooser = ServerChooser.of(new Random(3));
+
+    @BeforeEach
+    void listServers() {
+        directory.listed(server("near-1", "here", 1));
+        directory.listed(server("near-2", "here", 1));
+        directory.listed(server("far", "there", 1));
+    }
+
+    private static BackendServer server(String id, String domain, int weights) {
+        return new BackendServer(id, 1, "service", "10.0.0.1:80", domain, 64, false, Map.of("model", weights));
+    }
+
+    private static ServerQuery query(Set<String> excluded, int newest) {
+        return new ServerQuery("service", "here", 18_000, Optional.of(LONG), "scope", newest, excluded);
+    }
+
+    private String chosen(ServerQuery query) {
+        return chooser.choose(directory, query, NOW)
+                .map(state -> state.server().id())
+                .orElse("none");
+    }
+
+    private ServerState state(String id) {
+        return directory.find(id).orElseThrow();
+    }
+
+    @Test
+    void shouldReturnTheNearServerThatHoldsThePrefix() {
+        state("near-2").cache().read("scope", LONG.parts().subList(0, 1));
+        assertThat(chosen(query(Set.of(), 1))).isEqualTo("near-2");
+    }
+
+    @Test
+    void shouldLeaveThePrefixWhenAQueueThereCostsMore() {
+        state("near-2").cache().read("scope", LONG.parts().subList(0, 1));
+        state("near-2").told("peer", new ServerLoad("near-2", 3, 27_000, 20_000));
+        assertThat(chosen(query(Set.of(), 1))).isEqualTo("near-1");
+    }
+
+    @Test
+    void shouldLeaveTheFailureDomainOnlyWhenItsServersAreFull() {
+        state("near-1").told("peer", new ServerLoad("near-1", 2, 18_000, 9000));
+        state("near-2").told("peer", new ServerLoad("near-2", 2, 18_000, 9000));
+        assertThat(chosen(query(Set.of(), 1))).startsWith("near");
+        state("near-1").told("peer", new ServerLoad("near-1", 10, 90_000, 9000));
+        state("near-2").told("peer", new ServerLoad("near-2", 10, 90_000, 9000));
+        assertThat(chosen(query(Set.of(), 1))).isEqualTo("far");
+    }
+
+    /** The load of a rollout: one server has the new weights, and every entry sees it at once. */
+    @Test
+    void shouldNotCrowdTheFirstServerWithNewWeights() {
+        state("near-1").holdsWeights("model", 2);
+        int crowded = 0;
+        for (int i = 0; i < 20; i++) {
+            ServerState state =
+                    chooser.choose(directory, query(Set.of(), 2), NOW).orElseThrow();
+            state.sent(LONG.totalTokens(), LONG.inputTokens());
+            crowded += state.server().id().equals("near-1") ? 1 : 0;
+        }
+        assertThat(crowded).isBetween(7, 13);
+    }
+
+    @Test
+    void shouldAvoidServersThatLoadOrAreSuspendedOrTried() {
+        state("near-1").ordered(NOW + 1);
+        state("near-2").unreachable(NOW);
+        assertThat(chosen(query(Set.of(), 1))).isEqualTo("far");
+        assertThat(chosen(query(Set.of("far"), 1))).isEqualTo("none");
+    }
+
+    @Test
+    void shouldReturnASuspendedServerWhenNoOtherIsLeftForAFirstTry() {
+        List.of("near-1", "near-2", "far").forEach(id -> state(id).unreachable(NOW));
+        assertThat(chosen(query(Set.of(), 1))).isNotEqualTo("none");
+    }
+
+    @Test
+    void shouldForgetTheLoadOfAPeerThatTellsOfNoneAnyMore() {
+        directory.told("peer", List.of(new ServerLoad("near-1", 9, 90_000, 9000)));
+        assertThat(state("near-1").load().running()).isEqualTo(9);
+        directory.told("peer", List.of());
+        assertThat(state("near-1").load().running()).isEqualTo(0);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/stream/EventFramerTest.java
@@ -0,0 +1,68 @@
+package org.geraniumford.core.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class EventFramerTest {
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void shouldHoldBackAnEventThatIsNotWhole() {
+        EventFramer framer = EventFramer.empty();
+        assertThat(text(framer.take(bytes("id: 1\ndata: a\n\nid: 2\ndata")))).isEqualTo("id: 1\ndata: a\n\n");
+        assertThat(framer.lastId()).contains("1");
+        assertThat(framer.withinEvent()).isTrue();
+        assertThat(text(framer.take(bytes(": b\n\n")))).isEqualTo("id: 2\ndata: b\n\n");
+        assertThat(framer.lastId()).contains("2");
+        assertThat(framer.withinEvent()).isFalse();
+    }
+
+    @Test
+    void shouldForgetTheUnfinishedEventWhenTheStreamGoesOnElsewhere() {
+        EventFramer framer = EventFramer.empty();
+        framer.take(bytes("id: 1\n\nid: 2\nda"));
+        framer.dropPartial();
+        assertThat(text(framer.take(bytes("id: 2\n\n")))).isEqualTo("id: 2\n\n");
+    }
+
+    @Test
+    void shouldReadIdsAfterOtherLinesAndWithCarriageReturns() {
+        EventFramer framer = EventFramer.empty();
+        framer.take(bytes("x-weight-versions: 2\r\nid:17\r\ndata: x\r\n\r\n"));
+        assertThat(framer.lastId()).contains("17");
+    }
+
+    @Test
+    void shouldReturnTheSameBytesWhereverTheyAreCut() {
+        StringBuilder whole = new StringBuilder();
+        for (int i = 1; i <= 20; i++) {
+            whole.append("id: ")
+                    .append(i)
+                    .append("\ndata: ")
+                    .append("x".repeat(i))
+                    .append("\n\n");
+        }
+        Random random = new Random(5);
+        for (int round = 0; round < 200; round++) {
+            EventFramer framer = EventFramer.empty();
+            StringBuilder out = new StringBuilder();
+            int at = 0;
+            while (at < whole.length()) {
+                int end = Math.min(whole.length(), at + 1 + random.nextInt(30));
+                out.append(text(framer.take(bytes(whole.substring(at, end)))));
+                at = end;
+            }
+            assertThat(out.toString()).isEqualTo(whole.toString());
+            assertThat(framer.lastId()).contains("20");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
@@ -0,0 +1,57 @@
+package org.geraniumford.core.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class WeightsLeaseTest {
+    private static final Duration SPACING = Duration.ofSeconds(4);
+    private static final Duration KEEP = Duration.ofSeconds(9);
+
+    private static OrderIntent intent(String server, String holder, long at) {
+        return new OrderIntent(server, "model", 2, holder, at, false);
+    }
+
+    @Test
+    void shouldReadBackWhatItWrites() {
+        WeightsLease lease = new WeightsLease(3, "host-a", 17, List.of(intent("s1", "host-a", 16)));
+        assertThat(WeightsLease.decode(lease.encode())).contains(lease);
+        assertThat(WeightsLease.decode(
+                        WeightsLease.empty().next("h", 1, List.of(), KEEP).encode()))
+                .isPresent();
+    }
+
+    @Test
+    void shouldReturnNothingWhenTheRowIsNotALease() {
+        assertThat(WeightsLease.decode("")).isEmpty();
+        assertThat(WeightsLease.decode("a b c")).isEmpty();
+        assertThat(WeightsLease.decode("1 host 5\nserver")).isEmpty();
+    }
+
+    @Test
+    void shouldRaiseTheFenceOnlyWhenTheHolderChanges() {
+        WeightsLease first = WeightsLease.empty().next("host-a", 10, List.of(), KEEP);
+        assertThat(first.fence()).isEqualTo(1);
+        assertThat(first.next("host-a", 20, List.of(), KEEP).fence()).isEqualTo(1);
+        assertThat(first.next("host-b", 20, List.of(), KEEP).fence()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldSpaceOrdersOfTwoHoldersToOneServer() {
+        WeightsLease lease = WeightsLease.empty().next("host-a", 1000, List.of(intent("s1", "host-a", 1000)), KEEP);
+        assertThat(lease.mayOrder("s1", "host-b", 4900, SPACING)).isFalse();
+        assertThat(lease.mayOrder("s1", "host-b", 5001, SPACING)).isTrue();
+        assertThat(lease.mayOrder("s1", "host-a", 1001, SPACING)).isTrue();
+        assertThat(lease.mayOrder("s2", "host-b", 1001, SPACING)).isTrue();
+    }
+
+    @Test
+    void shouldKeepTheIntentsOfAnEarlierHolderForItsSuccessor() {
+        WeightsLease lease = WeightsLease.empty().next("host-a", 1000, List.of(intent("s1", "host-a", 1000)), KEEP);
+        WeightsLease taken = lease.next("host-b", 2000, List.of(intent("s2", "host-b", 2000)), KEEP);
+        assertThat(taken.mayOrder("s1", "host-b", 2001, SPACING)).isFalse();
+        assertThat(taken.next("host-b", 11_000, List.of(), KEEP).intents()).hasSize(0);
+    }
+}
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -21,6 +21,8 @@
     private final ServerState server;
     private final Dispatch dispatch;
     private final long tokens;
+    private final long unread;
+    private boolean reading;
     private ServerConnection connection;
     private AnswerKind kind;
     private HttpResponse head;
@@ -28,7 +30,8 @@
     private String detail = "";
     private boolean over;
 
-    Attempt(ForwardedRequest request, ServerState server, Dispatch dispatch) {
+    Attempt(ForwardedRequest request, ServerState server, Dispatch dispatch, long unread) {
+        this.unread = unread;
         this.request = request;
         this.server = server;
         this.dispatch = dispatch;
@@ -59,7 +62,8 @@
     // -- commands
 
     void start() {
-        server.sent(tokens);
+        server.sent(tokens, unread);
+        reading = true;
         request.gateway().pool().acquire(server.server().address(), this::connected, this::unreachable);
     }
 
@@ -138,6 +142,7 @@
             return;
         }
         if (streams()) {
+            promptRead();
             request.streamPart(head, part);
         } else if (body.readableBytes() + part.readableBytes() <= MAX_WHOLE_ANSWER_BYTES) {
             body = Unpooled.wrappedBuffer(body, part.retainedSlice());
@@ -214,8 +219,16 @@
         body.release();
     }
 
+    private void promptRead() {
+        if (reading) {
+            reading = false;
+            server.read(unread);
+        }
+    }
+
     private void close() {
         over = true;
+        promptRead();
         server.ended(tokens);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -95,10 +95,20 @@
         }
         ServerState server = chosen.get();
         tried.add(server.server().id());
-        attempt = new Attempt(this, server, dispatch(server));
+        long unread = admitted.request()
+                .prompt()
+                .map(prompt -> unread(server, prompt))
+                .orElse(0L);
+        attempt = new Attempt(this, server, dispatch(server), unread);
         attempt.start();
     }
 
+    private long unread(ServerState server, Prompt prompt) {
+        String scope =
+                admitted.scope(String.valueOf(server.weights(prompt.model()).orElse(0)));
+        return Math.max(0, prompt.inputTokens() - server.cache().cachedTokens(scope, prompt.parts()));
+    }
+
     private ServerQuery query() {
         Optional<Prompt> prompt = admitted.request().prompt();
         int newest =
@@ -106,6 +116,7 @@
         return new ServerQuery(
                 admitted.service(),
                 gateway.state().failureDomain(),
+                exchange.request().content().readableBytes(),
                 prompt,
                 admitted.scope(String.valueOf(newest)),
                 newest,
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -37,6 +37,7 @@
     private final ServerChooser chooser;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
     private final Set<ForwardedRequest> active = new HashSet<>();
+    private boolean refusing;
 
     private Gateway(
             EventLoop loop,
@@ -89,6 +90,10 @@
     @Override
     public void handle(CallerExchange exchange) {
         metrics.requested();
+        if (refusing) {
+            refuse(exchange, "", Refusal.notRun(Reason.SHUTTING_DOWN, "this entry ends"));
+            return;
+        }
         Decoded decoded = dialect.decode(exchange.request());
         if (decoded instanceof Decoded.Valid valid) {
             admit(exchange, valid.request());
@@ -97,6 +102,11 @@
         }
     }
 
+    /** Refuses every further request, as shortly before the process ends; another entry takes it at once. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     private void admit(CallerExchange exchange, InboundRequest request) {
         Optional<RoutingTable> table = state.table();
         if (table.isEmpty()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
@@ -238,7 +238,9 @@
                 .filter(server -> !ordered.containsKey(server.server().id()))
                 .filter(server -> lease.mayOrder(server.server().id(), host, storeNow, spacing))
                 .map(server -> new RolloutCandidate(
-                        server.server().id(), server.server().failureDomain(), server.running()))
+                        server.server().id(),
+                        server.server().failureDomain(),
+                        server.load().running()))
                 .toList();
         List<String> loading = ordered.values().stream()
                 .map(order -> order.server.server().failureDomain())
--- a/transport/src/main/java/org/geraniumford/transport/link/Link.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/Link.java
@@ -1,6 +1,7 @@
 package org.geraniumford.transport.link;
 
 import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
@@ -50,6 +51,16 @@
 
     // -- queries
 
+    /**
+     * Says whether the link goes to an address.
+     *
+     * @param address where the other side may listen
+     * @return true if this side opened the link to that address
+     */
+    public boolean leadsTo(InetSocketAddress address) {
+        return address.equals(channel.remoteAddress());
+    }
+
     /**
      * Says whether messages can be sent.
      *
--- a/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/MessageType.java
@@ -35,7 +35,8 @@
     LIMIT_REQUEST(60, Message.LimitRequest.class),
     LIMIT_GRANT(61, Message.LimitGrant.class),
     HOST_LIST_REQUEST(70, Message.HostListRequest.class),
-    HOST_LIST_ANSWER(71, Message.HostListAnswer.class);
+    HOST_LIST_ANSWER(71, Message.HostListAnswer.class),
+    GATEWAY_PULSE(80, Message.GatewayPulse.class);
 
     private static final Map<Integer, MessageType> BY_CODE =
             Arrays.stream(values()).collect(Collectors.toUnmodifiableMap(MessageType::code, Function.identity()));
