--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -26,6 +26,7 @@
     private boolean suspended;
     private long loadingUntilNanos;
     private boolean loading;
+    private final Map<String, Integer> doubtedWeights = new HashMap<>();
     private final Map<String, Integer> observedWeights = new HashMap<>();
 
     private ServerState(BackendServer server, CacheBelief cache, long cacheTokens) {
@@ -106,6 +107,16 @@
         return failureRate;
     }
 
+    /**
+     * Says whether the server serves a model.
+     *
+     * @param model the model
+     * @return true if it lists the model, whatever the version of its weights
+     */
+    public boolean serves(String model) {
+        return server.weights().containsKey(model);
+    }
+
     /**
      * Returns the version of a model's weights that the server holds. Within one incarnation it only grows, so the
      * larger of what it lists and what its answers told is taken.
@@ -116,7 +127,7 @@
     public OptionalInt weights(String model) {
         int listed = server.weights().getOrDefault(model, 0);
         int version = Math.max(listed, observedWeights.getOrDefault(model, 0));
-        return version == 0 ? OptionalInt.empty() : OptionalInt.of(version);
+        return version <= doubtedWeights.getOrDefault(model, 0) ? OptionalInt.empty() : OptionalInt.of(version);
     }
 
     /**
@@ -168,11 +179,25 @@
      * @param version the version that the server holds at least
      */
     public void holdsWeights(String model, int version) {
-        if (version > weights(model).orElse(0)) {
+        if (version > observedWeights.getOrDefault(model, 0)) {
             observedWeights.put(model, version);
             loading = false;
             cache.clear();
         }
+        if (version > doubtedWeights.getOrDefault(model, 0)) {
+            doubtedWeights.remove(model);
+        }
+    }
+
+    /**
+     * Takes notice that the server holds other weights than believed; they are unknown until it tells of them.
+     *
+     * @param model the model
+     * @param believed the version that it does not hold
+     */
+    public void lacksWeights(String model, int believed) {
+        doubtedWeights.merge(model, believed, Math::max);
+        cache.clear();
     }
 
     /**
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import java.util.OptionalInt;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptEnd;
 import org.geraniumford.core.prompt.Prompt;
@@ -175,13 +176,16 @@
         }
     }
 
-    /** A server that refuses the weights asked for holds newer ones; another server has taken the address otherwise. */
+    /** The server holds other weights than believed, or another server has taken its address. */
     private void misdirected() {
         request.admitted()
                 .request()
                 .prompt()
-                .ifPresent(prompt -> server.holdsWeights(
-                        prompt.model(), request.gateway().state().namedWeights(prompt.model())));
+                .ifPresent(prompt -> dispatch.engine()
+                        .map(EngineDispatch::weights)
+                        .filter(OptionalInt::isPresent)
+                        .ifPresent(believed -> server.lacksWeights(prompt.model(), believed.getAsInt())));
+        noteWeights();
     }
 
     private void turnedAway(Reason reason) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -14,6 +14,9 @@
 
 /** What the gateway believes of its installation. Used on its network thread only. */
 public final class GatewayState {
+    /** How many entries are assumed before peers are heard. */
+    private static final int ASSUMED_ENTRIES = 8;
+
     private final String failureDomain;
     private final ServerDirectory directory =
             ServerDirectory.empty(name -> table().flatMap(t -> t.service(name)).flatMap(ServiceDefinition::engine));
@@ -21,7 +24,7 @@
     private RoutingTable table;
     private boolean serversKnown;
     private boolean cacheStoreUp = true;
-    private int entries = 1;
+    private int entries = ASSUMED_ENTRIES;
 
     private GatewayState(String failureDomain) {
         this.failureDomain = failureDomain;
@@ -179,11 +182,12 @@
     }
 
     /**
-     * Notes how many entries share the budgets.
+     * Notes how many entries share the budgets. The largest count stands, since an entry that is cut off from its peers
+     * does not know how many of them go on.
      *
      * @param count the count, this entry included
      */
     public void entriesCounted(int count) {
-        entries = Math.max(1, count);
+        entries = Math.max(entries, count);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
@@ -36,6 +36,9 @@
 
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(350);
     private static final Duration ORDER_LIMIT = Duration.ofSeconds(6);
+    /** The pause after a write whose outcome is unknown, in which the feed tells of the row. */
+    private static final Duration WRITE_PAUSE = Duration.ofSeconds(1);
+
     private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
 
     private final String host;
@@ -190,6 +193,7 @@
         row.write(leaseVersion, next).whenComplete((version, failure) -> {
             writing = false;
             if (failure != null) {
+                lastWriteNanos = nowNanos + WRITE_PAUSE.toNanos();
                 LogEvent.of("lease_unknown").with("cause", failure).info();
             } else if (version.isEmpty()) {
                 LogEvent.of("lease_lost").with("fence", next.fence()).info();
@@ -226,7 +230,7 @@
 
     private List<ServerState> holding(String model) {
         return state.directory().all().stream()
-                .filter(server -> server.weights(model).isPresent())
+                .filter(server -> server.serves(model))
                 .toList();
     }
 
@@ -236,6 +240,7 @@
                 .filter(server -> !server.server().leaving())
                 .filter(server -> server.weights(model).orElse(0) < version)
                 .filter(server -> !ordered.containsKey(server.server().id()))
+                .filter(server -> !server.suspended(System.nanoTime()))
                 .filter(server -> lease.mayOrder(server.server().id(), host, storeNow, spacing))
                 .map(server -> new RolloutCandidate(
                         server.server().id(),
@@ -272,11 +277,12 @@
         }
 
         void begin() {
-            ask().thenAccept(report -> {
-                if (done(report) || report.busy() || !lease.holder().equals(host) || !withinWindow()) {
-                    return;
+            ask().whenComplete((report, failure) -> {
+                if (failure != null) {
+                    ended = true;
+                } else if (!done(report) && !report.busy()) {
+                    give(report.sequence());
                 }
-                give(report.sequence());
             });
         }
 
@@ -285,6 +291,10 @@
         }
 
         private void give(long sequence) {
+            if (!lease.holder().equals(host) || !withinWindow()) {
+                ended = true;
+                return;
+            }
             WeightsOrder order = new WeightsOrder(intent.model(), intent.version(), host, fence, sequence);
             engines.order(server.server(), order).whenComplete((accepted, failure) -> {
                 LogEvent.of("weights_ordered")
@@ -294,7 +304,7 @@
                         .with("sequence", sequence)
                         .with("outcome", failure == null ? accepted : failure)
                         .info();
-                ended = failure == null && !accepted;
+                ended = failure != null || !accepted;
             });
         }
 
