Rollouts begin with the oldest weights, half of the engines at a time; one engine reads a new shared part first

Shared parts were read again by several engines at once in the moment after new weights.

Change: RolloutPlan takes half, oldest weights first; a takeover begins when the holder is not heard by its peers, or has not renewed the row for 2 s; a stopping holder releases it; an order that fails frees its server. KnownParts: until a part is known to be read, every entry sends it to the same engine by rendezvous.

Ruled out: the mode that cuts runs, since it breaks streams; more than half at a time.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -1,5 +1,6 @@
 package org.geraniumford.core.fleet;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -30,7 +31,7 @@
     private static final double MS_FAILING = 1500;
 
     /** The cost of weights that are not the newest. */
-    private static final double MS_OLD_WEIGHTS = 60;
+    private static final double MS_OLD_WEIGHTS = 120;
 
     /** The cost of a request that does not fit into the engine's memory beside those that run. */
     private static final double MS_PREEMPTION = 1000;
@@ -41,6 +42,9 @@
     /** The cost of a plain call in progress, in place of each slot. */
     private static final double MS_PER_BUSY_SLOT = 60;
 
+    /** The gain of reading a shared part where every entry has it read. */
+    private static final double MS_HOME = 250;
+
     private static final double MS_TIE_BREAK = 2;
 
     private final RandomGenerator random;
@@ -80,8 +84,12 @@
     }
 
     private Optional<ServerState> cheapest(Stream<ServerState> candidates, ServerQuery query) {
-        return candidates
+        List<ServerState> choice = candidates.toList();
+        Optional<ServerState> home = home(choice, query);
+        return choice.stream()
                 .map(state -> new Scored(state, cost(state, query) + random.nextDouble() * MS_TIE_BREAK))
+                .map(scored ->
+                        scored.withGain(home.filter(scored.state()::equals).isPresent() ? MS_HOME : 0))
                 .min(Comparator.comparingDouble(Scored::cost))
                 .map(Scored::state);
     }
@@ -117,5 +125,23 @@
                 + (full ? MS_PREEMPTION : 0);
     }
 
-    private record Scored(ServerState state, double cost) {}
+    /** Every entry comes to the same server for a part that must be read, as long as they see the same servers. */
+    private static Optional<ServerState> home(List<ServerState> choice, ServerQuery query) {
+        return query.prompt()
+                .filter(prompt -> !query.unknownPart().isEmpty())
+                .flatMap(prompt -> choice.stream()
+                        .filter(state -> state.weights(prompt.model()).orElse(0) >= query.newestWeights())
+                        .max(Comparator.comparingLong(state ->
+                                score(query.unknownPart(), state.server().id()))));
+    }
+
+    private static long score(String part, String server) {
+        return Hashing.xxh3_64().hashStream().putString(part).putString(server).getAsLong();
+    }
+
+    private record Scored(ServerState state, double cost) {
+        Scored withGain(double gain) {
+            return new Scored(state, cost - gain);
+        }
+    }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -15,6 +15,8 @@
  * @param prompt the prompt's shape; empty for a plain call
  * @param scope the scope within which the customer's prompt parts are shared
  * @param newestWeights the newest version named for the prompt's model; 0 if none is known
+ * @param unknownPart the first shared part that no engine is known to have read, within its scope; empty if there is
+ *     none
  * @param excluded the servers that have been tried
  */
 public record ServerQuery(
@@ -24,6 +26,7 @@
         Optional<Prompt> prompt,
         String scope,
         int newestWeights,
+        String unknownPart,
         Set<String> excluded) {
     /** Checks and copies the components. */
     public ServerQuery {
@@ -31,6 +34,7 @@
         requireNonNull(failureDomain, "failureDomain is null");
         requireNonNull(prompt, "prompt is null");
         requireNonNull(scope, "scope is null");
+        requireNonNull(unknownPart, "unknownPart is null");
         excluded = Set.copyOf(excluded);
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -162,6 +162,11 @@
         loadingUntilNanos = untilNanos;
     }
 
+    /** Notes that an order to load weights failed. */
+    public void orderEnded() {
+        loading = false;
+    }
+
     /**
      * Takes a newer listing of the same incarnation.
      *
--- a/core/src/main/java/org/geraniumford/core/prompt/Prompt.java
+++ b/core/src/main/java/org/geraniumford/core/prompt/Prompt.java
@@ -30,15 +30,21 @@
         return inputTokens + outputTokens;
     }
 
+    /**
+     * Returns the parts that other requests may share.
+     *
+     * @return all parts but the last
+     */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /**
      * Returns the length of the parts that other requests may share.
      *
-     * @return the tokens of all parts but the last
+     * @return their tokens
      */
     public long sharedTokens() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .mapToLong(PromptPart::tokens)
-                .sum();
+        return sharedParts().stream().mapToLong(PromptPart::tokens).sum();
     }
 }
--- a/core/src/main/java/org/geraniumford/core/weights/RolloutCandidate.java
+++ b/core/src/main/java/org/geraniumford/core/weights/RolloutCandidate.java
@@ -7,9 +7,10 @@
  *
  * @param server its name
  * @param failureDomain where it stands
+ * @param version the version that it holds; 0 if it is not known
  * @param running how many requests of this entry it holds, a sign of how long it takes to run dry
  */
-public record RolloutCandidate(String server, String failureDomain, int running) {
+public record RolloutCandidate(String server, String failureDomain, int version, int running) {
     /** Checks the components. */
     public RolloutCandidate {
         requireNonNull(server, "server is null");
--- a/core/src/main/java/org/geraniumford/core/weights/RolloutPlan.java
+++ b/core/src/main/java/org/geraniumford/core/weights/RolloutPlan.java
@@ -7,11 +7,13 @@
 import java.util.Map;
 
 /**
- * Which servers load new weights next. A third of them may load at a time, spread over the failure domains, so that the
- * others carry the load; those with the least work go first, since they run dry first.
+ * Which servers load new weights next. Half of them may load at a time, spread over the failure domains, so that the
+ * others carry the load; those with the oldest weights go first, since their time runs out first, and among them those
+ * with the least work. It answers versions that are named every few seconds: an engine takes as long to run dry as to
+ * load, so that fewer at a time miss the bound.
  */
 public final class RolloutPlan {
-    private static final int SHARE = 3;
+    private static final int SHARE = 2;
 
     private RolloutPlan() {}
 
@@ -33,8 +35,8 @@
         List<RolloutCandidate> chosen = new ArrayList<>();
         while (chosen.size() < room && !left.isEmpty()) {
             RolloutCandidate next = left.stream()
-                    .min(Comparator.comparingInt(
-                                    (RolloutCandidate candidate) -> byDomain.getOrDefault(candidate.failureDomain(), 0))
+                    .min(Comparator.comparingInt(RolloutCandidate::version)
+                            .thenComparingInt(candidate -> byDomain.getOrDefault(candidate.failureDomain(), 0))
                             .thenComparingInt(RolloutCandidate::running)
                             .thenComparing(RolloutCandidate::server))
                     .orElseThrow();
--- a/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
@@ -145,6 +145,15 @@
         return new WeightsLease(holder.equals(host) ? fence : fence + 1, host, nowMillis, recent);
     }
 
+    /**
+     * Returns the lease as its holder leaves it to whoever comes first.
+     *
+     * @return a lease that is not fresh any more
+     */
+    public WeightsLease released() {
+        return new WeightsLease(fence, holder, 0, intents);
+    }
+
     private static boolean sameOrder(OrderIntent order, OrderIntent intent) {
         return order.server().equals(intent.server())
                 && order.model().equals(intent.model())
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -143,6 +143,9 @@
             return;
         }
         if (streams()) {
+            if (reading) {
+                request.promptRead(dispatch);
+            }
             promptRead();
             request.streamPart(head, part);
         } else if (body.readableBytes() + part.readableBytes() <= MAX_WHOLE_ANSWER_BYTES) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -115,10 +115,15 @@
     /** Another server with the same weights, for the copy of a stream that could not be resumed otherwise. */
     private Optional<ServerState> copyHolder(ServerState server) {
         boolean useful = streaming() && !admitted.route().resumable() && backups();
-        return admitted.request().prompt().filter(prompt -> useful).flatMap(prompt -> gateway.chooser()
-                .choose(gateway.state().directory(), query(), System.nanoTime())
-                .filter(other -> other.server().failureDomain().equals(server.server().failureDomain()))
-                .filter(other -> other.weights(prompt.model()).equals(server.weights(prompt.model()))));
+        return admitted.request()
+                .prompt()
+                .filter(prompt -> useful)
+                .flatMap(prompt -> gateway.chooser()
+                        .choose(gateway.state().directory(), query(), System.nanoTime())
+                        .filter(other -> other.server()
+                                .failureDomain()
+                                .equals(server.server().failureDomain()))
+                        .filter(other -> other.weights(prompt.model()).equals(server.weights(prompt.model()))));
     }
 
     private boolean backups() {
@@ -144,15 +149,20 @@
 
     private ServerQuery query() {
         Optional<Prompt> prompt = admitted.request().prompt();
-        int newest =
-                prompt.map(shape -> gateway.state().namedWeights(shape.model())).orElse(0);
+        int newest = prompt.map(shape -> gateway.state().newestWeights(shape.model()))
+                .orElse(0);
+        String scope = admitted.scope(String.valueOf(newest));
+        String unknownPart = prompt.filter(shape -> gateway.state().cacheStore().isPresent())
+                .map(shape -> gateway.state().knownParts().firstUnknown(scope, shape.sharedParts()))
+                .orElse("");
         return new ServerQuery(
                 admitted.service(),
                 gateway.state().failureDomain(),
                 exchange.request().content().readableBytes(),
                 prompt,
-                admitted.scope(String.valueOf(newest)),
+                scope,
                 newest,
+                unknownPart,
                 tried);
     }
 
@@ -238,8 +248,19 @@
         return response;
     }
 
+    /** The parts of the prompt are now saved in the cache store under the scope that was sent. */
+    void promptRead(Dispatch dispatch) {
+        admitted.request()
+                .prompt()
+                .ifPresent(prompt -> dispatch.engine()
+                        .filter(engine -> engine.saveTo().isPresent())
+                        .ifPresent(engine -> gateway.state().knownParts().read(engine.scope(), prompt.sharedParts())));
+    }
+
     void streamPart(HttpResponse head, ByteBuf part) {
-        boolean mayGoOn = admitted.route().resumable() || copyHolder.isPresent() || framer.lastId().isPresent();
+        boolean mayGoOn = admitted.route().resumable()
+                || copyHolder.isPresent()
+                || framer.lastId().isPresent();
         ByteBuf whole = mayGoOn ? wholeEvents(part) : part.retainedSlice();
         if (!whole.isReadable()) {
             whole.release();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.geraniumford.core.fleet.KnownParts;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.CallerLimits;
@@ -21,7 +23,9 @@
     private final ServerDirectory directory =
             ServerDirectory.empty(name -> table().flatMap(t -> t.service(name)).flatMap(ServiceDefinition::engine));
     private final Map<String, Integer> namedWeights = new HashMap<>();
+    private final KnownParts knownParts = KnownParts.empty();
     private RoutingTable table;
+    private Set<String> alivePeers = Set.of();
     private boolean serversKnown;
     private boolean cacheStoreUp = true;
     private int entries = ASSUMED_ENTRIES;
@@ -90,6 +94,20 @@
         return namedWeights.getOrDefault(model, 0);
     }
 
+    /**
+     * Returns the newest version of a model's weights that is named or held.
+     *
+     * @param model the model
+     * @return the version; 0 if none is known
+     */
+    public int newestWeights(String model) {
+        int held = directory.all().stream()
+                .mapToInt(server -> server.weights(model).orElse(0))
+                .max()
+                .orElse(0);
+        return Math.max(held, namedWeights(model));
+    }
+
     /**
      * Returns every named version.
      *
@@ -108,6 +126,15 @@
         return cacheStoreUp ? table().flatMap(RoutingTable::cacheStore) : Optional.empty();
     }
 
+    /**
+     * Returns the prompt parts that can be fetched from the store of cached parts.
+     *
+     * @return the parts, which change
+     */
+    public KnownParts knownParts() {
+        return knownParts;
+    }
+
     /**
      * Says whether requests can be served.
      *
@@ -117,6 +144,16 @@
         return table != null && serversKnown;
     }
 
+    /**
+     * Says whether another entry was heard lately.
+     *
+     * @param host the name of its host
+     * @return true if it told of its load within the last second or so
+     */
+    public boolean peerAlive(String host) {
+        return alivePeers.contains(host);
+    }
+
     /**
      * Returns how many entries share the budgets.
      *
@@ -182,12 +219,13 @@
     }
 
     /**
-     * Notes how many entries share the budgets. The largest count stands, since an entry that is cut off from its peers
-     * does not know how many of them go on.
+     * Notes which other entries were heard lately, this one not included. The largest count stands, since an entry that
+     * is cut off from its peers does not know how many of them go on.
      *
-     * @param count the count, this entry included
+     * @param hosts the names of their hosts
      */
-    public void entriesCounted(int count) {
-        entries = Math.max(entries, count);
+    public void peersHeard(Set<String> hosts) {
+        alivePeers = Set.copyOf(hosts);
+        entries = Math.max(entries, hosts.size() + 1);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GatewayPeers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GatewayPeers.java
@@ -119,7 +119,7 @@
         dials.values().forEach(dial -> dial.connectIfDue(now));
         onePerPeer().forEach(link -> link.send(pulse));
         forgetSilent(now);
-        state.entriesCounted(heardNanos.size() + 1);
+        state.peersHeard(heardNanos.keySet());
     }
 
     /** Two entries that opened a link to each other use one of the two in each direction. */
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
@@ -26,7 +26,10 @@
     private static final Duration ISSUE_WINDOW = Duration.ofSeconds(1);
 
     /** How long a holder may leave the row unwritten while servers are outdated before another entry takes over. */
-    private static final Duration PATIENCE = Duration.ofMillis(2500);
+    private static final Duration PATIENCE = Duration.ofSeconds(2);
+
+    /** How often a holder writes the row while servers are outdated. */
+    private static final Duration RENEWAL = Duration.ofMillis(900);
 
     /** The spread over which entries begin, so that one of them writes first. */
     private static final Duration SPREAD = Duration.ofMillis(600);
@@ -34,7 +37,7 @@
     /** How long servers are avoided after an order if nothing else is heard of them. */
     private static final Duration LOADING_BELIEF = Duration.ofSeconds(5);
 
-    private static final Duration REPORT_INTERVAL = Duration.ofMillis(350);
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
     private static final Duration ORDER_LIMIT = Duration.ofSeconds(6);
     /** The pause after a write whose outcome is unknown, in which the feed tells of the row. */
     private static final Duration WRITE_PAUSE = Duration.ofSeconds(1);
@@ -111,10 +114,10 @@
      * @param version the row's version; 0 if it does not exist
      */
     public void leaseRead(WeightsLease newer, long version) {
-        known = true;
-        if (version < leaseVersion) {
+        if (known && version <= leaseVersion) {
             return;
         }
+        known = true;
         lease = newer;
         leaseVersion = version;
         if (!newer.holder().equals(host)) {
@@ -140,9 +143,15 @@
 
     // -- commands
 
-    /** Gives no further orders, as before the process ends. */
+    /** Gives no further orders, as before the process ends, and lets another entry hold the lease. */
     public void stop() {
         stopped = true;
+        if (lease.holder().equals(host) && !outdated().isEmpty()) {
+            row.write(leaseVersion, lease.released())
+                    .whenComplete((version, failure) -> LogEvent.of("lease_released")
+                            .with("outcome", failure == null ? version : failure)
+                            .info());
+        }
     }
 
     /** Does what is due. To be called several times a second. */
@@ -162,7 +171,7 @@
     private void act() {
         long now = System.nanoTime();
         boolean own = lease.holder().equals(host);
-        if (!own && lease.fresh(row.nowMillis(), PATIENCE)) {
+        if (!own && lease.fresh(row.nowMillis(), PATIENCE) && state.peerAlive(lease.holder())) {
             waiting = false;
             return;
         }
@@ -183,7 +192,8 @@
                 .toList();
         List<OrderIntent> written = new ArrayList<>(finished);
         written.addAll(orders);
-        if (written.isEmpty()) {
+        boolean renewalDue = storeNow - lease.renewedMillis() > RENEWAL.toMillis();
+        if (written.isEmpty() && !(renewalDue && lease.holder().equals(host))) {
             return;
         }
         WeightsLease next = lease.next(host, storeNow, written, spacing.plus(LOADING_BELIEF));
@@ -240,15 +250,17 @@
                 .filter(server -> !server.server().leaving())
                 .filter(server -> server.weights(model).orElse(0) < version)
                 .filter(server -> !ordered.containsKey(server.server().id()))
-                .filter(server -> !server.suspended(System.nanoTime()))
+                .filter(server -> !server.suspended(System.nanoTime()) && !server.loading(System.nanoTime()))
                 .filter(server -> lease.mayOrder(server.server().id(), host, storeNow, spacing))
                 .map(server -> new RolloutCandidate(
                         server.server().id(),
                         server.server().failureDomain(),
+                        server.weights(model).orElse(0),
                         server.load().running()))
                 .toList();
-        List<String> loading = ordered.values().stream()
-                .map(order -> order.server.server().failureDomain())
+        List<String> loading = holding.stream()
+                .filter(server -> ordered.containsKey(server.server().id()) || server.loading(System.nanoTime()))
+                .map(server -> server.server().failureDomain())
                 .toList();
         return RolloutPlan.next(candidates, loading, holding.size()).stream()
                 .map(chosen -> new OrderIntent(chosen.server(), model, version, host, storeNow, false))
@@ -279,20 +291,26 @@
         void begin() {
             ask().whenComplete((report, failure) -> {
                 if (failure != null) {
-                    ended = true;
+                    failed();
                 } else if (!done(report) && !report.busy()) {
                     give(report.sequence());
                 }
             });
         }
 
+        /** The order may be given anew; until then the server takes requests. */
+        private void failed() {
+            ended = true;
+            server.orderEnded();
+        }
+
         private boolean withinWindow() {
             return System.nanoTime() - writtenNanos < ISSUE_WINDOW.toNanos();
         }
 
         private void give(long sequence) {
             if (!lease.holder().equals(host) || !withinWindow()) {
-                ended = true;
+                failed();
                 return;
             }
             WeightsOrder order = new WeightsOrder(intent.model(), intent.version(), host, fence, sequence);
@@ -304,7 +322,9 @@
                         .with("sequence", sequence)
                         .with("outcome", failure == null ? accepted : failure)
                         .info();
-                ended = failure != null || !accepted;
+                if (failure != null || !accepted) {
+                    failed();
+                }
             });
         }
 
