--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -9,6 +9,7 @@
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.prefix.Piece;
 import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.core.weights.LeaseNotice;
 import org.geraniumford.core.weights.NamedWeights;
 
 /** What entries, sidecars and operators' commands say to each other. */
@@ -375,8 +376,10 @@
      * @param loads what it has in progress, without idle backend servers
      * @param leaving the backend servers that it lately saw leaving
      * @param weights the weights that the operator named
+     * @param lease the lease on weights orders as the sender last saw it
      */
-    record GatewayPulse(List<ServerLoad> loads, List<LeavingServer> leaving, List<NamedWeights> weights)
+    record GatewayPulse(
+            List<ServerLoad> loads, List<LeavingServer> leaving, List<NamedWeights> weights, LeaseNotice lease)
             implements Message {
         /** Copies the lists. */
         public GatewayPulse {
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GatewayPeers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GatewayPeers.java
@@ -17,6 +17,7 @@
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.gateway.GatewayState;
+import org.geraniumford.daemon.weights.WeightsKeeper;
 import org.geraniumford.transport.link.Link;
 import org.geraniumford.transport.link.LinkHandler;
 import org.geraniumford.transport.link.LinkIdentity;
@@ -39,6 +40,7 @@
     private final String host;
     private final GatewayState state;
     private final ConfigurationRelay configuration;
+    private final WeightsKeeper weights;
     private final LinkNetwork network;
     private final InetSocketAddress own;
     private final Map<InetSocketAddress, Dial> dials = new HashMap<>();
@@ -52,8 +54,10 @@
             String host,
             GatewayState state,
             ConfigurationRelay configuration,
+            WeightsKeeper weights,
             EventLoopGroup group,
             InetSocketAddress own) {
+        this.weights = weights;
         this.host = host;
         this.state = state;
         this.configuration = configuration;
@@ -71,6 +75,7 @@
      * @param host the name of this host
      * @param state what is told and learned
      * @param configuration the configuration in force
+     * @param weights tells and learns of the lease on weights orders
      * @param group the network thread
      * @param own where this entry listens for peers
      * @return an exchange without peers
@@ -79,12 +84,14 @@
             String host,
             GatewayState state,
             ConfigurationRelay configuration,
+            WeightsKeeper weights,
             EventLoopGroup group,
             InetSocketAddress own) {
         return new GatewayPeers(
                 requireNonNull(host, "host is null"),
                 requireNonNull(state, "state is null"),
                 requireNonNull(configuration, "configuration is null"),
+                requireNonNull(weights, "weights is null"),
                 requireNonNull(group, "group is null"),
                 requireNonNull(own, "own is null"));
     }
@@ -115,7 +122,7 @@
     public void pulse() {
         long now = System.nanoTime();
         Message.GatewayPulse pulse = new Message.GatewayPulse(
-                state.directory().ownLoads(), state.directory().leaving(), namedWeights());
+                state.directory().ownLoads(), state.directory().leaving(), namedWeights(), weights.notice());
         dials.values().forEach(dial -> dial.connectIfDue(now));
         onePerPeer().forEach(link -> link.send(pulse));
         forgetSilent(now);
@@ -193,6 +200,7 @@
         }
         state.directory().told(peer, pulse.loads());
         pulse.leaving().forEach(state.directory()::leaves);
+        weights.told(pulse.lease());
         pulse.weights().forEach(named -> state.weightsNamed(named.model(), named.version()));
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.weights.LeaseNotice;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.RolloutCandidate;
 import org.geraniumford.core.weights.RolloutPlan;
@@ -37,6 +38,9 @@
     /** How long servers are avoided after an order if nothing else is heard of them. */
     private static final Duration LOADING_BELIEF = Duration.ofSeconds(5);
 
+    /** How long peers are told of a lease that is not renewed. */
+    private static final Duration TELLING = Duration.ofSeconds(6);
+
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
     private static final Duration ORDER_LIMIT = Duration.ofSeconds(6);
     /** The pause after a write whose outcome is unknown, in which the feed tells of the row. */
@@ -54,8 +58,8 @@
     private final List<OrderIntent> finished = new ArrayList<>();
     private WeightsLease lease = WeightsLease.empty();
     private long leaseVersion;
-    private boolean known;
-    private boolean writing;
+    private boolean rowRead;
+    private boolean calling;
     private boolean stopped;
     private long beginNanos;
     private boolean waiting;
@@ -108,16 +112,17 @@
     // -- events
 
     /**
-     * Takes the lease row as the store tells of it.
+     * Takes the lease row as a peer tells of it.
      *
-     * @param newer the row's value
-     * @param version the row's version; 0 if it does not exist
+     * @param notice the row
      */
-    public void leaseRead(WeightsLease newer, long version) {
-        if (known && version <= leaseVersion) {
-            return;
+    public void told(LeaseNotice notice) {
+        if (notice.version() > leaseVersion) {
+            WeightsLease.decode(notice.row()).ifPresent(newer -> taken(newer, notice.version()));
         }
-        known = true;
+    }
+
+    private void taken(WeightsLease newer, long version) {
         lease = newer;
         leaseVersion = version;
         if (!newer.holder().equals(host)) {
@@ -141,6 +146,18 @@
         });
     }
 
+    // -- queries
+
+    /**
+     * Returns what peers are told of the lease.
+     *
+     * @return the row while it is recent, else an empty notice
+     */
+    public LeaseNotice notice() {
+        boolean recent = row.nowMillis() - lease.renewedMillis() < TELLING.toMillis();
+        return recent ? new LeaseNotice(leaseVersion, lease.encode()) : LeaseNotice.empty();
+    }
+
     // -- commands
 
     /** Gives no further orders, as before the process ends, and lets another entry hold the lease. */
@@ -156,12 +173,12 @@
 
     /** Does what is due. To be called several times a second. */
     public void tick() {
-        if (stopped || !known) {
+        if (stopped) {
             return;
         }
         ordered.values().removeIf(OrderedServer::over);
         ordered.values().forEach(OrderedServer::poll);
-        if (!writing && (!outdated().isEmpty() || !finished.isEmpty())) {
+        if (!calling && (!outdated().isEmpty() || !finished.isEmpty())) {
             act();
         } else if (outdated().isEmpty()) {
             waiting = false;
@@ -177,12 +194,31 @@
         }
         if (!own && !waiting) {
             waiting = true;
+            rowRead = false;
             beginNanos = now + (long) (SPREAD.toNanos() * random.nextDouble());
         }
         if ((!own && now - beginNanos < 0) || now - lastWriteNanos < WRITE_INTERVAL.toNanos()) {
             return;
         }
-        writeIntents(now);
+        if (own || rowRead) {
+            writeIntents(now);
+        } else {
+            readRow();
+        }
+    }
+
+    private void readRow() {
+        calling = true;
+        row.read().whenComplete((notice, failure) -> {
+            calling = false;
+            rowRead = failure == null;
+            if (failure == null) {
+                told(notice);
+            } else {
+                lastWriteNanos = System.nanoTime() + WRITE_PAUSE.toNanos();
+                LogEvent.of("lease_unread").with("cause", failure).info();
+            }
+        });
     }
 
     private void writeIntents(long nowNanos) {
@@ -198,16 +234,17 @@
         }
         WeightsLease next = lease.next(host, storeNow, written, spacing.plus(LOADING_BELIEF));
         int reported = finished.size();
-        writing = true;
+        calling = true;
         lastWriteNanos = nowNanos;
         row.write(leaseVersion, next).whenComplete((version, failure) -> {
-            writing = false;
+            calling = false;
             if (failure != null) {
                 lastWriteNanos = nowNanos + WRITE_PAUSE.toNanos();
                 LogEvent.of("lease_unknown").with("cause", failure).info();
             } else if (version.isEmpty()) {
                 LogEvent.of("lease_lost").with("fence", next.fence()).info();
                 waiting = false;
+                readRow();
             } else {
                 finished.subList(0, Math.min(reported, finished.size())).clear();
                 granted(next, version, orders, nowNanos);
@@ -216,7 +253,7 @@
     }
 
     private void granted(WeightsLease next, OptionalLong version, List<OrderIntent> orders, long writtenNanos) {
-        leaseRead(next, version.getAsLong());
+        taken(next, version.getAsLong());
         LogEvent.of("lease_written")
                 .with("fence", next.fence())
                 .with("orders", orders.size())
