--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -78,6 +78,7 @@
     public Optional<ServerState> choose(ServerDirectory directory, ServerQuery query, long nowNanos) {
         List<ServerState> untried = directory.ready(query.service()).stream()
                 .filter(state -> !query.excluded().contains(state.server().id()))
+                .filter(state -> recentWeights(state, query))
                 .toList();
         return cheapest(untried.stream().filter(state -> available(state, nowNanos)), query)
                 .or(() -> query.excluded().isEmpty() ? cheapest(untried.stream(), query) : Optional.empty());
@@ -94,6 +95,12 @@
                 .map(Scored::state);
     }
 
+    private static boolean recentWeights(ServerState state, ServerQuery query) {
+        return query.prompt()
+                .map(prompt -> state.weights(prompt.model()).orElse(0) >= query.leastWeights())
+                .orElse(true);
+    }
+
     private static boolean available(ServerState state, long nowNanos) {
         return !state.suspended(nowNanos) && !state.loading(nowNanos);
     }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -15,6 +15,7 @@
  * @param prompt the prompt's shape; empty for a plain call
  * @param scope the scope within which the customer's prompt parts are shared
  * @param newestWeights the newest version named for the prompt's model; 0 if none is known
+ * @param leastWeights the oldest version of the weights on which the request may begin; 0 if any may do
  * @param unknownPart the first shared part that no engine is known to have read, within its scope; empty if there is
  *     none
  * @param excluded the servers that have been tried
@@ -26,6 +27,7 @@
         Optional<Prompt> prompt,
         String scope,
         int newestWeights,
+        int leastWeights,
         String unknownPart,
         Set<String> excluded) {
     /** Checks and copies the components. */
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -34,7 +34,7 @@
     }
 
     private static ServerQuery query(Set<String> excluded, int newest) {
-        return new ServerQuery("service", "here", 18_000, Optional.of(LONG), "scope", newest, "", excluded);
+        return new ServerQuery("service", "here", 18_000, Optional.of(LONG), "scope", newest, newest - 1, "", excluded);
     }
 
     private String chosen(ServerQuery query) {
@@ -90,13 +90,21 @@
         ServerChooser other = ServerChooser.of(new Random(99));
         for (int i = 0; i < 20; i++) {
             ServerQuery unknown = new ServerQuery(
-                    "service", "here", 18_000, Optional.of(LONG), "scope", 1, "scope/part-" + i, Set.of());
+                    "service", "here", 18_000, Optional.of(LONG), "scope", 1, 0, "scope/part-" + i, Set.of());
             ServerQuery elsewhere = new ServerQuery(
-                    "service", "there", 18_000, Optional.of(LONG), "scope", 1, "scope/part-" + i, Set.of());
+                    "service", "there", 18_000, Optional.of(LONG), "scope", 1, 0, "scope/part-" + i, Set.of());
             assertThat(other.choose(directory, elsewhere, NOW)).isEqualTo(chooser.choose(directory, unknown, NOW));
         }
     }
 
+    /** The load after an outage of engines: they come back with weights that were replaced long ago. */
+    @Test
+    void shouldSendNothingToServersWhoseWeightsAreTooOld() {
+        assertThat(chosen(query(Set.of(), 3))).isEqualTo("none");
+        state("far").holdsWeights("model", 2);
+        assertThat(chosen(query(Set.of(), 3))).isEqualTo("far");
+    }
+
     @Test
     void shouldAvoidServersThatLoadOrAreSuspendedOrTried() {
         state("near-1").ordered(NOW + 1);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -162,6 +162,7 @@
                 prompt,
                 scope,
                 newest,
+                prompt.map(shape -> gateway.oldestWeights(shape.model())).orElse(0),
                 unknownPart,
                 tried);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -25,6 +25,9 @@
 
 /** Takes callers' requests, finds their routes and customers, and passes them on. Runs on one network thread. */
 public final class Gateway implements CallerHandler {
+    /** How long a request may wait at an engine before it begins. */
+    private static final Duration BEGIN_RESERVE = Duration.ofSeconds(1);
+
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
 
     private final EventLoop loop;
@@ -183,6 +186,10 @@
                 service, name -> SharedRetryBudget.of(bounds.retryRatio(), bounds.retryWindow(), bounds.retrySlack()));
     }
 
+    int oldestWeights(String model) {
+        return state.oldestWeights(model, bounds.weights().minus(BEGIN_RESERVE));
+    }
+
     void ended(ForwardedRequest request) {
         active.remove(request);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayBounds.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayBounds.java
@@ -10,12 +10,15 @@
  * @param retryRatio repeats allowed for each request
  * @param retryWindow the span in which repeats are counted
  * @param retrySlack repeats allowed to the whole system in a window besides the ratio
+ * @param weights how long a request may begin on older weights after newer ones were named
  * @param grace how long a process may run on after it was told to stop
  */
-public record GatewayBounds(double retryRatio, Duration retryWindow, double retrySlack, Duration grace) {
+public record GatewayBounds(
+        double retryRatio, Duration retryWindow, double retrySlack, Duration weights, Duration grace) {
     /** Checks the components. */
     public GatewayBounds {
         requireNonNull(retryWindow, "retryWindow is null");
+        requireNonNull(weights, "weights is null");
         requireNonNull(grace, "grace is null");
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -2,7 +2,9 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -12,6 +14,8 @@
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
+import org.geraniumford.core.weights.NamedWeights;
+import org.geraniumford.core.weights.WeightsHistory;
 import org.geraniumford.transport.log.LogEvent;
 
 /** What the gateway believes of its installation. Used on its network thread only. */
@@ -22,7 +26,7 @@
     private final String failureDomain;
     private final ServerDirectory directory =
             ServerDirectory.empty(name -> table().flatMap(t -> t.service(name)).flatMap(ServiceDefinition::engine));
-    private final Map<String, Integer> namedWeights = new HashMap<>();
+    private final Map<String, WeightsHistory> weights = new HashMap<>();
     private final KnownParts knownParts = KnownParts.empty();
     private RoutingTable table;
     private Set<String> alivePeers = Set.of();
@@ -91,7 +95,7 @@
      * @return the version; 0 if none was named
      */
     public int namedWeights(String model) {
-        return namedWeights.getOrDefault(model, 0);
+        return history(model).newest();
     }
 
     /**
@@ -111,10 +115,31 @@
     /**
      * Returns every named version.
      *
-     * @return the newest version by model
+     * @return the newest version of each model
      */
-    public Map<String, Integer> namedWeights() {
-        return Map.copyOf(namedWeights);
+    public List<NamedWeights> namedWeights() {
+        long now = System.nanoTime();
+        return weights.entrySet().stream()
+                .map(named -> new NamedWeights(
+                        named.getKey(),
+                        named.getValue().newest(),
+                        named.getValue().newestAge(now).toMillis()))
+                .toList();
+    }
+
+    /**
+     * Returns the oldest version of a model's weights on which a request may still begin.
+     *
+     * @param model the model
+     * @param bound how long older weights may be used
+     * @return the version; 0 if any may do
+     */
+    public int oldestWeights(String model, Duration bound) {
+        return history(model).oldestAllowed(bound, System.nanoTime());
+    }
+
+    private WeightsHistory history(String model) {
+        return weights.getOrDefault(model, WeightsHistory.empty());
     }
 
     /**
@@ -188,17 +213,19 @@
     /**
      * Takes a named version of a model's weights.
      *
-     * @param model the model
-     * @param version the version
+     * @param named the model, the version and how long ago it was named
      */
-    public void weightsNamed(String model, int version) {
-        if (version > namedWeights(model)) {
+    public void weightsNamed(NamedWeights named) {
+        WeightsHistory history = weights.computeIfAbsent(named.model(), model -> WeightsHistory.empty());
+        if (named.version() > history.newest()) {
             LogEvent.of("weights_named")
-                    .with("model", model)
-                    .with("version", version)
+                    .with("model", named.model())
+                    .with("version", named.version())
                     .info();
-            namedWeights.put(model, version);
         }
+        history.named(
+                named.version(),
+                System.nanoTime() - Duration.ofMillis(named.ageMillis()).toNanos());
     }
 
     /** Notes that the list of servers has been read. */
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GatewayPeers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GatewayPeers.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumford.core.configuration.Sha256;
-import org.geraniumford.core.weights.NamedWeights;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
@@ -122,7 +121,7 @@
     public void pulse() {
         long now = System.nanoTime();
         Message.GatewayPulse pulse = new Message.GatewayPulse(
-                state.directory().ownLoads(), state.directory().leaving(), namedWeights(), weights.notice());
+                state.directory().ownLoads(), state.directory().leaving(), state.namedWeights(), weights.notice());
         dials.values().forEach(dial -> dial.connectIfDue(now));
         onePerPeer().forEach(link -> link.send(pulse));
         forgetSilent(now);
@@ -140,12 +139,6 @@
         return byPeer.values();
     }
 
-    private List<NamedWeights> namedWeights() {
-        return state.namedWeights().entrySet().stream()
-                .map(named -> new NamedWeights(named.getKey(), named.getValue()))
-                .toList();
-    }
-
     private void forgetSilent(long nowNanos) {
         List<String> silent = heardNanos.entrySet().stream()
                 .filter(heard -> nowNanos - heard.getValue() > SILENCE.toNanos())
@@ -201,7 +194,7 @@
         state.directory().told(peer, pulse.loads());
         pulse.leaving().forEach(state.directory()::leaves);
         weights.told(pulse.lease());
-        pulse.weights().forEach(named -> state.weightsNamed(named.model(), named.version()));
+        pulse.weights().forEach(state::weightsNamed);
     }
 
     private void answer(Link link, Message.ConfigurationRequest request) {
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WeightsKeeper.java
@@ -23,9 +23,6 @@
  * on one network thread.
  */
 public final class WeightsKeeper {
-    /** How long after the write of an intent its order may be given. */
-    private static final Duration ISSUE_WINDOW = Duration.ofSeconds(1);
-
     /** How long a holder may leave the row unwritten while servers are outdated before another entry takes over. */
     private static final Duration PATIENCE = Duration.ofSeconds(2);
 
@@ -41,8 +38,6 @@
     /** How long peers are told of a lease that is not renewed. */
     private static final Duration TELLING = Duration.ofSeconds(6);
 
-    private static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
-    private static final Duration ORDER_LIMIT = Duration.ofSeconds(6);
     /** The pause after a write whose outcome is unknown, in which the feed tells of the row. */
     private static final Duration WRITE_PAUSE = Duration.ofSeconds(1);
 
@@ -76,7 +71,7 @@
         this.state = state;
         this.row = row;
         this.engines = engines;
-        this.spacing = leaseBound.plus(ISSUE_WINDOW).plusMillis(500);
+        this.spacing = leaseBound.plus(OrderedServer.ISSUE_WINDOW).plusMillis(500);
         this.random = random;
     }
 
@@ -223,8 +218,8 @@
 
     private void writeIntents(long nowNanos) {
         long storeNow = row.nowMillis();
-        List<OrderIntent> orders = state.namedWeights().entrySet().stream()
-                .flatMap(named -> orders(named.getKey(), named.getValue(), storeNow).stream())
+        List<OrderIntent> orders = state.namedWeights().stream()
+                .flatMap(named -> orders(named.model(), named.version(), storeNow).stream())
                 .toList();
         List<OrderIntent> written = new ArrayList<>(finished);
         written.addAll(orders);
@@ -259,7 +254,14 @@
                 .with("orders", orders.size())
                 .info();
         orders.forEach(order -> state.directory().find(order.server()).ifPresent(server -> {
-            OrderedServer giving = new OrderedServer(server, order, next.fence(), writtenNanos);
+            OrderedServer giving = new OrderedServer(
+                    server,
+                    order,
+                    next.fence(),
+                    writtenNanos,
+                    engines,
+                    () -> lease.holder().equals(host),
+                    finished::add);
             ordered.put(order.server(), giving);
             giving.begin();
         }));
@@ -268,9 +270,9 @@
     // -- planning
 
     private List<ServerState> outdated() {
-        return state.namedWeights().entrySet().stream()
-                .flatMap(named -> holding(named.getKey()).stream()
-                        .filter(server -> server.weights(named.getKey()).orElse(0) < named.getValue()))
+        return state.namedWeights().stream()
+                .flatMap(named -> holding(named.model()).stream()
+                        .filter(server -> server.weights(named.model()).orElse(0) < named.version()))
                 .filter(server -> !server.server().leaving())
                 .toList();
     }
@@ -303,100 +305,4 @@
                 .map(chosen -> new OrderIntent(chosen.server(), model, version, host, storeNow, false))
                 .toList();
     }
-
-    /** An order from its record in the lease until the engine holds the weights. */
-    private final class OrderedServer {
-        private final ServerState server;
-        private final OrderIntent intent;
-        private final long fence;
-        private final long writtenNanos;
-        private boolean asking;
-        private boolean ended;
-        private long askedNanos;
-
-        OrderedServer(ServerState server, OrderIntent intent, long fence, long writtenNanos) {
-            this.server = server;
-            this.intent = intent;
-            this.fence = fence;
-            this.writtenNanos = writtenNanos;
-        }
-
-        boolean over() {
-            return ended || System.nanoTime() - writtenNanos > ORDER_LIMIT.toNanos();
-        }
-
-        void begin() {
-            ask().whenComplete((report, failure) -> {
-                if (failure != null) {
-                    failed();
-                } else if (!done(report) && !report.busy()) {
-                    give(report.sequence());
-                }
-            });
-        }
-
-        /** The order may be given anew; until then the server takes requests. */
-        private void failed() {
-            ended = true;
-            server.orderEnded();
-        }
-
-        private boolean withinWindow() {
-            return System.nanoTime() - writtenNanos < ISSUE_WINDOW.toNanos();
-        }
-
-        private void give(long sequence) {
-            if (!lease.holder().equals(host) || !withinWindow()) {
-                failed();
-                return;
-            }
-            WeightsOrder order = new WeightsOrder(intent.model(), intent.version(), host, fence, sequence);
-            engines.order(server.server(), order).whenComplete((accepted, failure) -> {
-                LogEvent.of("weights_ordered")
-                        .with("server", intent.server())
-                        .with("version", intent.version())
-                        .with("fence", fence)
-                        .with("sequence", sequence)
-                        .with("outcome", failure == null ? accepted : failure)
-                        .info();
-                if (failure != null || !accepted) {
-                    failed();
-                }
-            });
-        }
-
-        void poll() {
-            if (!asking && System.nanoTime() - askedNanos > REPORT_INTERVAL.toNanos()) {
-                ask().thenAccept(this::done);
-            }
-        }
-
-        private java.util.concurrent.CompletableFuture<EngineReport> ask() {
-            asking = true;
-            askedNanos = System.nanoTime();
-            return engines.report(server.server()).whenComplete((report, failure) -> {
-                asking = false;
-                if (failure != null) {
-                    LogEvent.of("report_failed")
-                            .with("server", intent.server())
-                            .with("cause", failure)
-                            .info();
-                }
-            });
-        }
-
-        private boolean done(EngineReport report) {
-            boolean holds = report.weights().getOrDefault(intent.model(), 0) >= intent.version() && !report.busy();
-            if (holds && !ended) {
-                ended = true;
-                server.holdsWeights(intent.model(), intent.version());
-                finished.add(intent.carriedOut());
-                LogEvent.of("weights_loaded")
-                        .with("server", intent.server())
-                        .with("version", intent.version())
-                        .info();
-            }
-            return holds;
-        }
-    }
 }
--- a/daemon/src/test/java/org/geraniumford/daemon/operator/OperatingPageTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/operator/OperationsPageTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-final class OperatingPageTest {
-    private static final Path PAGE = Path.of("..", "docs", "OPERATING.md");
+final class OperationsPageTest {
+    private static final Path PAGE = Path.of("..", "docs", "OPERATIONS.md");
 
     @ParameterizedTest
     @EnumSource(Reason.class)
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/log/RingWriter.java
@@ -0,0 +1,123 @@
+package org.geraniumford.transport.log;
+
+import static java.util.Objects.requireNonNull;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.time.format.DateTimeFormatter;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jctools.queues.MpscArrayQueue;
+import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
+import org.tinylog.writers.Writer;
+
+/**
+ * A tinylog writer that never blocks the thread that logs. Lines go through a bounded ring to a thread of their own,
+ * which writes them to standard output in batches; when the ring is full, lines are dropped and counted, and the count
+ * is written once there is room. Named {@code ring} in {@code tinylog.properties}.
+ */
+public final class RingWriter implements Writer {
+    /** The lines that the ring holds. */
+    public static final int CAPACITY = 4096;
+
+    private static final long BATCH_PAUSE_MILLIS = 50;
+    private static final AtomicLong DROPPED = new AtomicLong();
+    private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("HH:mm:ss.SSS");
+
+    private final MpscArrayQueue<String> ring = new MpscArrayQueue<>(CAPACITY);
+    private final PrintStream out;
+    private final Thread drainer;
+    private volatile boolean closed;
+    private long reported;
+
+    /**
+     * Creates a writer; called by tinylog.
+     *
+     * @param properties not used
+     */
+    public RingWriter(Map<String, String> properties) {
+        this(System.out, true);
+        requireNonNull(properties, "properties is null");
+    }
+
+    RingWriter(PrintStream out, boolean draining) {
+        this.out = requireNonNull(out, "out is null");
+        reported = DROPPED.get();
+        drainer = new Thread(this::run, "log");
+        drainer.setDaemon(true);
+        if (draining) {
+            drainer.start();
+        }
+    }
+
+    // -- queries
+
+    /**
+     * Returns how many lines were dropped.
+     *
+     * @return a count since the start of the process
+     */
+    public static long dropped() {
+        return DROPPED.get();
+    }
+
+    @Override
+    public Collection<LogEntryValue> getRequiredLogEntryValues() {
+        return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE);
+    }
+
+    // -- commands
+
+    @Override
+    public void write(LogEntry entry) {
+        LocalTime time = LocalTime.ofInstant(entry.getTimestamp().toInstant(), ZoneId.systemDefault());
+        String line = "time=" + TIME.format(time) + " level=" + entry.getLevel() + ' ' + entry.getMessage() + '\n';
+        if (!ring.offer(line)) {
+            DROPPED.incrementAndGet();
+        }
+    }
+
+    /** Writes every line that the ring holds. */
+    @Override
+    public synchronized void flush() {
+        StringBuilder batch = new StringBuilder();
+        for (String line = ring.poll(); line != null; line = ring.poll()) {
+            batch.append(line);
+        }
+        long lost = DROPPED.get();
+        if (lost > reported) {
+            batch.append("level=WARN event=log_lines_dropped count=")
+                    .append(lost - reported)
+                    .append('\n');
+            reported = lost;
+        }
+        if (batch.length() > 0) {
+            byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+            out.write(bytes, 0, bytes.length);
+            out.flush();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        flush();
+    }
+
+    private void run() {
+        while (!closed) {
+            flush();
+            try {
+                Thread.sleep(BATCH_PAUSE_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+}
