--- a/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
@@ -132,17 +132,7 @@
         int colon = address.lastIndexOf(':');
         InetSocketAddress target =
                 new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-        ChannelFuture connecting = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(initializer(address))
-                .connect(target);
+        ChannelFuture connecting = bootstrap(loop).handler(initializer(address)).connect(target);
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 ready.accept(connecting.channel().pipeline().get(ServerConnection.class));
@@ -152,6 +142,19 @@
         });
     }
 
+    /** Connections that give up soon on a peer that is out of reach or has fallen silent. */
+    static Bootstrap bootstrap(EventLoop loop) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
     private ChannelInitializer<SocketChannel> initializer(String address) {
         return new ChannelInitializer<>() {
             @Override
--- /dev/null
+++ b/transport/src/main/java/org/geraniumford/transport/forward/LivenessWatch.java
@@ -0,0 +1,91 @@
+package org.geraniumford.transport.forward;
+
+import static java.util.Objects.requireNonNull;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells whether a process listens at an address, by one idle connection that is opened again whenever it ends. Nothing
+ * is sent on it. Runs on one network thread.
+ */
+public final class LivenessWatch implements AutoCloseable {
+    private static final Duration PAUSE = Duration.ofMillis(200);
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final LivenessListener listener;
+    private Channel open;
+    private boolean closed;
+
+    private LivenessWatch(EventLoop loop, InetSocketAddress address, LivenessListener listener) {
+        this.loop = loop;
+        this.address = address;
+        this.listener = listener;
+    }
+
+    // -- construction
+
+    /**
+     * Begins to watch an address.
+     *
+     * @param loop the network thread
+     * @param address the address
+     * @param listener told after each attempt to connect
+     * @return a watch that goes on until it is closed
+     */
+    public static LivenessWatch start(EventLoop loop, InetSocketAddress address, LivenessListener listener) {
+        LivenessWatch watch = new LivenessWatch(
+                requireNonNull(loop, "loop is null"),
+                requireNonNull(address, "address is null"),
+                requireNonNull(listener, "listener is null"));
+        watch.connect();
+        return watch;
+    }
+
+    // -- commands
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        ChannelFuture connecting = ConnectionPool.bootstrap(loop)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(address);
+        connecting.addListener(done -> {
+            listener.answers(done.isSuccess());
+            if (done.isSuccess()) {
+                opened(connecting.channel());
+            } else {
+                later();
+            }
+        });
+    }
+
+    private void opened(Channel channel) {
+        if (closed) {
+            channel.close();
+            return;
+        }
+        open = channel;
+        channel.closeFuture().addListener(ended -> later());
+    }
+
+    private void later() {
+        loop.schedule(this::connect, PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Stops watching. */
+    @Override
+    public void close() {
+        closed = true;
+        if (open != null) {
+            open.close();
+        }
+    }
+}
