Requests that may be repeated leave a silent server; nothing is sent once its time is over

Change: a server from which nothing came for a second, on any connection, while it has a request, loses those that may run elsewhere within the retry budget, and is suspended; not within a second after this process itself stood still. The time left is checked and told when the request is written. The idle timer restarts with each request's head.

Ruled out: a time limit on the first byte, since it breaks off work at engines that are only slow.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -11,6 +11,9 @@
 
 /** What an entry believes of one incarnation of a backend server. Not thread-safe. */
 public final class ServerState {
+    /** A server that has work and sends nothing for this long is probably out of reach. */
+    public static final Duration SILENCE = Duration.ofSeconds(1);
+
     private static final Duration FIRST_SUSPENSION = Duration.ofMillis(300);
     private static final Duration LONGEST_SUSPENSION = Duration.ofSeconds(4);
     private static final double FAILURE_WEIGHT = 0.15;
@@ -21,6 +24,8 @@
     private ServerLoad own;
     private final Map<String, ServerLoad> others = new HashMap<>();
     private int failuresInRow;
+    private long heardNanos;
+    private boolean heard;
     private double failureRate;
     private long suspendedUntilNanos;
     private boolean suspended;
@@ -150,8 +155,30 @@
         return loading && nowNanos - loadingUntilNanos < 0;
     }
 
+    /**
+     * Says whether nothing came from the server for a while, on any of this entry's connections.
+     *
+     * @param sinceNanos when it was sent a request that it has not answered
+     * @param nowNanos the time
+     * @return true if it was silent for {@link #SILENCE} since then
+     */
+    public boolean silent(long sinceNanos, long nowNanos) {
+        boolean heardSince = heard && heardNanos - sinceNanos > 0;
+        return nowNanos - (heardSince ? heardNanos : sinceNanos) > SILENCE.toNanos();
+    }
+
     // -- commands
 
+    /**
+     * Notes that bytes came from the server.
+     *
+     * @param nowNanos the time
+     */
+    public void heard(long nowNanos) {
+        heard = true;
+        heardNanos = nowNanos;
+    }
+
     /**
      * Notes that the server was ordered to load weights.
      *
--- a/core/src/main/java/org/geraniumford/core/forward/ForwardMachine.java
+++ b/core/src/main/java/org/geraniumford/core/forward/ForwardMachine.java
@@ -62,12 +62,12 @@
     }
 
     /**
-     * Returns how many tries have ended.
+     * Says whether the request may be sent elsewhere although the present try may have run.
      *
-     * @return tries of any outcome
+     * @return true if it is idempotent and has another attempt
      */
-    public int tries() {
-        return notRunTries + runs;
+    public boolean mayLeaveTry() {
+        return (answerStarted ? resumable : idempotent) && runs + 1 < maxAttempts;
     }
 
     // -- commands
--- a/core/src/main/java/org/geraniumford/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/geraniumford/core/retry/SharedRetryBudget.java
@@ -41,6 +41,21 @@
         return new SharedRetryBudget(ratio, requireNonNull(window, "window is null"), slack);
     }
 
+    // -- queries
+
+    /**
+     * Says whether the budget holds a repeat.
+     *
+     * @param nowNanos the time
+     * @param entries how many entries share the slack, this one included
+     * @return true if {@link #take} would succeed
+     */
+    public boolean available(long nowNanos, int entries) {
+        forget(requests, nowNanos);
+        forget(repeats, nowNanos);
+        return repeats.size() + 1 <= USED_PART * (ratio * requests.size() + slack / Math.max(1, entries));
+    }
+
     // -- commands
 
     /**
@@ -61,10 +76,7 @@
      * @return true if the repeat may be sent
      */
     public boolean take(long nowNanos, int entries) {
-        forget(requests, nowNanos);
-        forget(repeats, nowNanos);
-        double allowed = USED_PART * (ratio * requests.size() + slack / Math.max(1, entries));
-        if (repeats.size() + 1 > allowed) {
+        if (!available(nowNanos, entries)) {
             return false;
         }
         repeats.addLast(nowNanos);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -29,6 +29,7 @@
     private HttpResponse head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private String detail = "";
+    private long sentNanos;
     private boolean over;
 
     Attempt(ForwardedRequest request, ServerState server, Dispatch dispatch, long unread) {
@@ -50,6 +51,10 @@
         return connection != null;
     }
 
+    boolean silent(long nowNanos) {
+        return sent() && server.silent(sentNanos, nowNanos);
+    }
+
     String detail() {
         return detail;
     }
@@ -73,8 +78,24 @@
             opened.abort();
             return;
         }
+        Duration timeLeft = request.timeLeft();
+        if (timeLeft.isNegative() || timeLeft.isZero()) {
+            opened.abort();
+            detail = "the time was over before it was sent";
+            end(new AttemptEnd.Unreachable(), Reason.DEADLINE_PASSED);
+            return;
+        }
         connection = opened;
-        opened.send(request.gateway().encode(request.exchange(), dispatch), this);
+        sentNanos = System.nanoTime();
+        opened.send(request.gateway().encode(request.exchange(), dispatch.withTimeLeft(timeLeft)), this);
+    }
+
+    /** Gives the server up, for this request and for a while for others. */
+    void leave(long nowNanos) {
+        connection.abort();
+        server.unreachable(nowNanos);
+        request.gateway().pool().drop(server.server().address());
+        broken("silent");
     }
 
     private void unreachable(Throwable cause) {
@@ -107,6 +128,7 @@
 
     @Override
     public boolean accepts(HttpResponse answer) {
+        server.heard(System.nanoTime());
         return request.gateway()
                         .dialect()
                         .classify(answer, request.admitted().request().id())
@@ -143,6 +165,7 @@
             return;
         }
         if (streams()) {
+            server.heard(System.nanoTime());
             if (reading) {
                 request.promptRead(dispatch);
             }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Dispatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Dispatch.java
@@ -31,4 +31,16 @@
         requireNonNull(engine, "engine is null");
         requireNonNull(resumeAfter, "resumeAfter is null");
     }
+
+    // -- combinators
+
+    /**
+     * Returns this dispatch with another time.
+     *
+     * @param left how long the caller waits from now on
+     * @return a new dispatch
+     */
+    public Dispatch withTimeLeft(Duration left) {
+        return new Dispatch(server, left, customer, priority, engine, resumeAfter);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -89,7 +89,19 @@
         tryNext();
     }
 
+    /** A silent server keeps a request that could run elsewhere only as long as no repeat is allowed. */
+    void leaveIfSilent(long nowNanos) {
+        boolean silent = attempt != null && attempt.silent(nowNanos);
+        if (silent && machine.mayLeaveTry() && gateway.mayRepeat(admitted.service())) {
+            attempt.leave(nowNanos);
+        }
+    }
+
     private void tryNext() {
+        if (timeLeft().compareTo(SHORTEST_TRY) <= 0) {
+            deadlinePassed();
+            return;
+        }
         Optional<ServerState> chosen =
                 gateway.chooser().choose(gateway.state().directory(), query(), System.nanoTime());
         if (chosen.isEmpty()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -7,11 +7,13 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.geraniumford.core.fleet.ServerChooser;
+import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.retry.SharedRetryBudget;
 import org.geraniumford.core.service.ApiCustomer;
 import org.geraniumford.core.service.Route;
@@ -25,6 +27,9 @@
 
 /** Takes callers' requests, finds their routes and customers, and passes them on. Runs on one network thread. */
 public final class Gateway implements CallerHandler {
+    /** After a longer pause between ticks this process stood still, and silence of servers says nothing. */
+    private static final Duration LONGEST_TICK = Duration.ofMillis(400);
+
     /** How long a request may wait at an engine before it begins. */
     private static final Duration BEGIN_RESERVE = Duration.ofSeconds(1);
 
@@ -41,6 +46,8 @@
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
     private final Set<ForwardedRequest> active = new HashSet<>();
     private boolean refusing;
+    private long lastTickNanos = System.nanoTime();
+    private long silenceCountsNanos = lastTickNanos;
 
     private Gateway(
             EventLoop loop,
@@ -156,11 +163,19 @@
     }
 
     /**
-     * Closes the idle connections past their time and forgets servers that did not come back. To be called a few times
-     * a second.
+     * Closes the idle connections past their time, takes requests away from silent servers, and forgets servers that
+     * did not come back. To be called a few times a second.
      */
     public void tick() {
         pool.sweep();
+        long now = System.nanoTime();
+        if (now - lastTickNanos > LONGEST_TICK.toNanos()) {
+            silenceCountsNanos = now + ServerState.SILENCE.toNanos();
+        }
+        lastTickNanos = now;
+        if (now - silenceCountsNanos >= 0) {
+            List.copyOf(active).forEach(request -> request.leaveIfSilent(now));
+        }
         state.directory().expire(System.nanoTime());
     }
 
@@ -177,6 +192,10 @@
 
     // -- what a forwarded request uses
 
+    boolean mayRepeat(String service) {
+        return budget(service).available(System.nanoTime(), state.entries());
+    }
+
     boolean takeRepeat(String service) {
         return budget(service).take(System.nanoTime(), state.entries());
     }
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
@@ -126,6 +126,7 @@
         head = request;
         headNanos = System.nanoTime();
         body = Unpooled.EMPTY_BUFFER;
+        restartIdleTimer();
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
@@ -38,7 +38,6 @@
 
     private final EventLoop loop;
     private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
-    private long opened;
 
     private ConnectionPool(EventLoop loop) {
         this.loop = loop;
@@ -56,17 +55,6 @@
         return new ConnectionPool(requireNonNull(loop, "loop is null"));
     }
 
-    // -- queries
-
-    /**
-     * Returns how many connections were opened.
-     *
-     * @return a count since the start
-     */
-    public long opened() {
-        return opened;
-    }
-
     // -- commands
 
     /**
@@ -128,7 +116,6 @@
     }
 
     private void open(String address, Consumer<ServerConnection> ready, Consumer<Throwable> unreachable) {
-        opened++;
         int colon = address.lastIndexOf(':');
         InetSocketAddress target =
                 new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.geraniumford.core.fleet.LeavingServer;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.limits.LimitHome;
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.prefix.Piece;
@@ -14,6 +16,8 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.core.weights.LeaseNotice;
+import org.geraniumford.core.weights.NamedWeights;
 import org.geraniumford.core.wire.AttemptId;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
@@ -36,6 +40,11 @@
     static List<Message> messages() {
         Piece piece = new Piece(new PieceKey(-1, 7), 4000);
         return List.of(
+                new Message.GatewayPulse(
+                        List.of(new ServerLoad("server-1", 3, 27_000, 9000)),
+                        List.of(new LeavingServer("server-2", 1_770_000_000_000L)),
+                        List.of(new NamedWeights("model", 2, 1500)),
+                        new LeaseNotice(17, "1 host-a 5")),
                 new Message.Hello("entry-1", Role.ENTRY, "kigali-a", ""),
                 new Message.SidecarState("", "draft-2", "abc", 3, true, 12),
                 new Message.Probe(1, "abc", List.of(-5L, Long.MAX_VALUE)),
