No stream goes on at memory of other weights; nothing begins on old weights in the last 2 s of the bound

Change: the holder's weights must be those of the broken run, or the stream is cut off; the reserve is two seconds.

Ruled out: the store's clock as the time of naming, since rows bear none.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -43,6 +43,7 @@
     private final Set<String> tried = new HashSet<>();
     private ScheduledFuture<?> deadline;
     private Optional<ServerState> copyHolder = Optional.empty();
+    private OptionalInt copiedWeights = OptionalInt.empty();
     private Attempt attempt;
     private boolean over;
 
@@ -116,6 +117,7 @@
                 .orElse(0L);
         copyHolder = copyHolder(server);
         copyHolder.ifPresent(holder -> machine.copyKept());
+        copiedWeights = heldWeights(server);
         begin(server, dispatch(server, Optional.empty()), unread);
     }
 
@@ -138,6 +140,13 @@
                         .filter(other -> other.weights(prompt.model()).equals(server.weights(prompt.model()))));
     }
 
+    private OptionalInt heldWeights(ServerState server) {
+        return admitted.request()
+                .prompt()
+                .map(prompt -> server.weights(prompt.model()))
+                .orElse(OptionalInt.empty());
+    }
+
     private boolean backups() {
         return gateway.state()
                 .table()
@@ -147,7 +156,12 @@
                 .isPresent();
     }
 
+    /** Memory of older weights is of no use to an engine that has loaded newer ones since. */
     private void continueAtCopy(ServerState holder) {
+        if (!heldWeights(holder).equals(copiedWeights)) {
+            cutOff("copy_of_other_weights");
+            return;
+        }
         tried.add(holder.server().id());
         copyHolder = Optional.empty();
         begin(holder, dispatch(holder, Optional.of(holder.server().address())), 0);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -30,8 +30,10 @@
     /** After a longer pause between ticks this process stood still, and silence of servers says nothing. */
     private static final Duration LONGEST_TICK = Duration.ofMillis(400);
 
-    /** How long a request may wait at an engine before it begins. */
-    private static final Duration BEGIN_RESERVE = Duration.ofSeconds(1);
+    /**
+     * How late this entry may learn of named weights, and how long a request may wait at an engine before it begins.
+     */
+    private static final Duration BEGIN_RESERVE = Duration.ofSeconds(2);
 
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
 
