Logs say what an attempt was based on, when its first bytes came, what gossip costs

Change: one line 'attempt' for each attempt with the server's load, the estimated prefill, the weights, and the cache stores named to fetch from and save to; 'first_ms' in the line 'request'; one line 'gossip' every 5 s with the peers heard and the bytes sent to them. No decision changes.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -6,12 +6,14 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.OptionalInt;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.ResponseListener;
 import org.geraniumford.transport.forward.ServerConnection;
+import org.geraniumford.transport.log.LogEvent;
 
 /** One attempt of a request at one backend server. Runs on the gateway's network thread. */
 final class Attempt implements ResponseListener {
@@ -75,6 +77,36 @@
 
     // -- commands
 
+    /** Logs the choice of the server with what it was based on. Called before the load of this attempt is recorded. */
+    void logStart() {
+        ServerLoad load = server.totalLoad();
+        LogEvent event = LogEvent.of("attempt")
+                .with("request", request.admitted().request().id())
+                .with("server", server.server().id())
+                .with("running", load.running())
+                .with("queued_tokens", load.pendingPrefillTokens());
+        dispatch.engine()
+                .map(engine -> event.with("weights", weightsText(engine.weightsVersion()))
+                        .with("input_tokens", inputTokens())
+                        .with("prefill_tokens", prefillTokens)
+                        .with("fetch", engine.fetchFrom().orElse(""))
+                        .with("save", engine.saveTo().orElse("")))
+                .orElse(event)
+                .info();
+    }
+
+    private static String weightsText(OptionalInt version) {
+        return version.isPresent() ? String.valueOf(version.getAsInt()) : "unknown";
+    }
+
+    private long inputTokens() {
+        return request.admitted()
+                .request()
+                .prompt()
+                .map(PromptSpec::inputTokens)
+                .orElse(0L);
+    }
+
     void start() {
         server.recordAttemptStart(totalTokens, prefillTokens);
         prefilling = true;
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.geraniumford.core.fleet.ServerState;
@@ -34,6 +35,8 @@
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(250);
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final Gateway gateway;
     private final CallerExchange exchange;
     private final AdmittedRequest admitted;
@@ -51,6 +54,9 @@
 
     private boolean finished;
 
+    /** The time until the first bytes of the response were forwarded, in nanoseconds; empty until then. */
+    private OptionalLong firstBytesNanos = OptionalLong.empty();
+
     ForwardedRequest(Gateway gateway, CallerExchange exchange, AdmittedRequest admitted) {
         this.gateway = gateway;
         this.exchange = exchange;
@@ -135,6 +141,7 @@
 
     private void startAttempt(ServerState server, Dispatch dispatch, long prefillTokens) {
         attempt = new Attempt(this, server, dispatch, prefillTokens);
+        attempt.logStart();
         attempt.start();
     }
 
@@ -308,7 +315,8 @@
                 .with("route", admitted.route().name())
                 .with("configuration", admitted.configurationVersion())
                 .with("servers", attemptedServers)
-                .with("ms", (System.nanoTime() - exchange.headReadNanos()) / 1_000_000)
+                .with("first_ms", firstBytesNanos.isPresent() ? firstBytesNanos.getAsLong() / NANOS_PER_MILLI : "")
+                .with("ms", (System.nanoTime() - exchange.headReadNanos()) / NANOS_PER_MILLI)
                 .with("outcome", outcome)
                 .info();
     }
@@ -319,6 +327,7 @@
         if (complete) {
             gateway.metrics().recordResponseTime(nanos);
         } else {
+            firstBytesNanos = OptionalLong.of(nanos);
             gateway.metrics().recordFirstByteTime(nanos);
         }
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -41,6 +41,10 @@
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(300);
 
     private static final int MAX_BACKOFF_DOUBLINGS = 4;
+
+    /** How often the number of peers and the bytes sent to them are logged. */
+    private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
+
     private static final long MICROS_PER_MILLI = 1000;
 
     private final String host;
@@ -55,6 +59,8 @@
     private long lastConfigurationRequestId;
     private boolean configurationRequestPending;
     private long configurationRequestSentNanos;
+    private long lastReportNanos = System.nanoTime();
+    private long reportedBytes;
 
     private GossipExchange(
             String host,
@@ -140,6 +146,21 @@
         oneLinkPerPeer().forEach(link -> link.send(gossip));
         removeSilentPeers(nowNanos);
         state.updateAlivePeers(lastSeenNanos.keySet());
+        reportIfDue(nowNanos);
+    }
+
+    /** Logs what the peers cost, so that late or lost gossip can be told from other causes of a bad choice. */
+    private void reportIfDue(long nowNanos) {
+        if (nowNanos - lastReportNanos < REPORT_INTERVAL.toNanos()) {
+            return;
+        }
+        lastReportNanos = nowNanos;
+        LogEvent.of("gossip")
+                .with("peers", lastSeenNanos.size())
+                .with("links", peerNames.size())
+                .with("sent_bytes", network.sentBytes() - reportedBytes)
+                .info();
+        reportedBytes = network.sentBytes();
     }
 
     /** Returns one open link per peer. If two entries have connected to each other, each sends on only one link. */
--- a/transport/src/main/java/org/geraniumford/transport/link/LinkChannelHandler.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkChannelHandler.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
+import java.util.concurrent.atomic.LongAdder;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.transport.log.LogEvent;
 
@@ -16,12 +17,21 @@
 final class LinkChannelHandler extends ChannelDuplexHandler {
     private final LinkIdentity identity;
     private final LinkHandler handler;
+    private final LongAdder sentBytes;
     private Link link;
     private boolean broken;
 
-    LinkChannelHandler(LinkIdentity identity, LinkHandler handler) {
+    /**
+     * Creates a handler.
+     *
+     * @param identity the identity that the process presents to its peers
+     * @param handler receives the events of the link
+     * @param sentBytes counts the bytes of the messages sent
+     */
+    LinkChannelHandler(LinkIdentity identity, LinkHandler handler, LongAdder sentBytes) {
         this.identity = identity;
         this.handler = handler;
+        this.sentBytes = sentBytes;
     }
 
     @Override
@@ -66,7 +76,9 @@
     @Override
     public void write(ChannelHandlerContext context, Object envelope, ChannelPromise promise)
             throws BrokenFrameException {
-        context.write(Unpooled.wrappedBuffer(FrameCodec.encode((Envelope) envelope)), promise);
+        byte[] frame = FrameCodec.encode((Envelope) envelope);
+        sentBytes.add(frame.length);
+        context.write(Unpooled.wrappedBuffer(frame), promise);
     }
 
     @Override
--- a/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
@@ -21,6 +21,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
 
 /** Opens and accepts the links of one process. */
 public final class LinkNetwork {
@@ -31,6 +32,7 @@
     private final EventLoopGroup group;
     private final LinkIdentity identity;
     private final Optional<LinkTls> tls;
+    private final LongAdder sentBytes = new LongAdder();
 
     private LinkNetwork(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls) {
         this.group = group;
@@ -102,6 +104,19 @@
         return completion(bootstrap.connect(address)).thenCompose(LinkNetwork::handshakeCompletion);
     }
 
+    // -- queries
+
+    /**
+     * Returns how much the process has sent on its links, to judge what its messages cost.
+     *
+     * @return the number of bytes of all encoded messages since the start, without the framing of the transport
+     */
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
+    // -- channels
+
     private ChannelInitializer<SocketChannel> initializer(LinkHandler handler, boolean server) {
         return new ChannelInitializer<>() {
             @Override
@@ -112,7 +127,7 @@
                 pipeline.addLast(new LengthFieldBasedFrameDecoder(
                         FrameCodec.MAX_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
                 pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-                pipeline.addLast(new LinkChannelHandler(identity, handler));
+                pipeline.addLast(new LinkChannelHandler(identity, handler, sentBytes));
             }
         };
     }
