Every configured cache store is used, not any one of them

Cause: RoutingTable.cacheStore returned the store of any one service. This deployment configures three, each for 1.26 million tokens and 530 Gbit/s; the shared segments in use are 2.5 million tokens. Two stores were never used. Evidence: the wire example lists three stores; the new line 'attempt' names one address for all requests. Change: CacheStores assigns each shared prefix to one of the available stores by rendezvous hashing, the same at all entries. What is saved is known by store and segment. A lost store moves only its own prefixes. GatewayStateTest and RoutingTableTest check the same of several stores.

--- a/core/src/main/java/org/geraniumford/core/service/RoutingTable.java
+++ b/core/src/main/java/org/geraniumford/core/service/RoutingTable.java
@@ -141,13 +141,14 @@
     }
 
     /**
-     * Returns the store of cached segments.
+     * Returns the stores of cached segments.
      *
-     * @return the store of any service that has one, or empty if there is none
+     * @return the stores of all services that have one, ordered by their addresses
      */
-    public Optional<CacheStore> cacheStore() {
+    public List<CacheStore> cacheStores() {
         return services.values().stream()
                 .flatMap(service -> service.cacheStore().stream())
-                .findFirst();
+                .sorted(Comparator.comparing(CacheStore::address))
+                .toList();
     }
 }
--- a/core/src/test/java/org/geraniumford/core/service/RoutingTableTest.java
+++ b/core/src/test/java/org/geraniumford/core/service/RoutingTableTest.java
@@ -24,14 +24,17 @@
                 List.of(new WeightedService("service-a", 1)));
     }
 
+    private static ServiceDefinition cacheStore(String name, String address) {
+        return new ServiceDefinition(name, 10, Optional.empty(), Optional.of(new CacheStore(address, "domain-1")));
+    }
+
     private static final RoutingTable TABLE = RoutingTable.of(
             7,
             List.of(
                     route("short", "a.example", "/x/"),
                     route("long", "a.example", "/x/y/"),
                     route("b", "b.example", "/")),
-            List.of(new ServiceDefinition(
-                    "store", 10, Optional.empty(), Optional.of(new CacheStore("10.0.0.1:80", "domain-1")))),
+            List.of(cacheStore("store-b", "10.0.0.2:80"), cacheStore("store-a", "10.0.0.1:80")),
             List.of(new ApiCustomer("customer-1", List.of("key-1", "key-2"), OptionalInt.empty(), true)),
             CallerLimits.DEFAULT);
 
@@ -60,8 +63,8 @@
     }
 
     @Test
-    void shouldReturnTheCacheStoreWhenAnyServiceHasOne() {
-        assertThat(TABLE.cacheStore().map(CacheStore::address)).contains("10.0.0.1:80");
+    void shouldReturnEveryCacheStoreOrderedByAddress() {
+        assertThat(TABLE.cacheStores()).extracting(CacheStore::address).containsExactly("10.0.0.1:80", "10.0.0.2:80");
     }
 
     @Test
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ScopedPrompt;
 import org.geraniumford.core.fleet.ServerQuery;
 import org.geraniumford.core.fleet.ServerState;
@@ -83,8 +84,7 @@
                 scoped,
                 newest,
                 prompt.map(spec -> gateway.oldestAllowedWeights(spec.model())).orElse(0),
-                scoped.filter(inScope -> gateway.state().cacheStore().isPresent())
-                        .map(inScope -> gateway.state().savedSegments().firstUnsaved(inScope.sharedSegments()))
+                scoped.map(inScope -> cacheStores().firstUnsaved(inScope.sharedSegments()))
                         .orElse(OptionalLong.empty()),
                 scoped.filter(this::isFetchable).isPresent(),
                 attemptedServers);
@@ -122,15 +122,12 @@
         return server.estimatedPrefillTokens(scoped, isFetchable(scoped));
     }
 
-    /**
-     * Returns whether the cache store is available and all shared segments of the prompt are known to be saved in it.
-     */
     private boolean isFetchable(ScopedPrompt scoped) {
-        return gateway.state().cacheStore().isPresent()
-                && gateway.state()
-                        .savedSegments()
-                        .firstUnsaved(scoped.sharedSegments())
-                        .isEmpty();
+        return cacheStores().isFetchable(scoped.sharedSegments());
+    }
+
+    private CacheStores cacheStores() {
+        return gateway.state().cacheStores();
     }
 
     // -- dispatch
@@ -179,11 +176,12 @@
         }
         String scope = admitted.cacheScope(String.valueOf(weights.getAsInt()));
         ScopedPrompt scoped = scopedPrompt(prompt, weights.getAsInt());
-        Optional<String> storeAddress = gateway.state().cacheStore().map(CacheStore::address);
+        Optional<String> storeAddress =
+                cacheStores().storeOf(scoped.sharedSegments()).map(CacheStore::address);
         boolean fetchUseful = server.cache().cachedTokens(scoped.sharedSegments()) < scoped.sharedTokens();
         server.cache().recordPrefilled(scoped.segments());
         Optional<String> backUpTo = backupServer.map(backup -> backup.server().address());
-        boolean saveDue = gateway.state().savedSegments().isSaveDue(scoped.sharedSegments(), System.nanoTime());
+        boolean saveDue = cacheStores().isSaveDue(scoped.sharedSegments(), System.nanoTime());
         return new EngineDispatch(
                 scope,
                 weights,
@@ -193,19 +191,16 @@
                 resumeFrom);
     }
 
-    /** Records that the prompt's segments are now saved in the cache store, if the dispatch requested this. */
+    /** Records that the prompt's segments are now saved in a cache store, if the dispatch requested this. */
     void recordSavedSegments(Dispatch dispatch) {
         admitted.request()
                 .prompt()
-                .ifPresent(prompt -> dispatch.engine()
-                        .filter(engine -> engine.saveTo().isPresent())
-                        .ifPresent(engine -> gateway.state()
-                                .savedSegments()
-                                .recordSaved(
-                                        scopedPrompt(
-                                                        prompt,
-                                                        engine.weightsVersion().orElse(0))
-                                                .sharedSegments(),
-                                        System.nanoTime())));
+                .ifPresent(prompt -> dispatch.engine().ifPresent(engine -> recordSavedSegments(prompt, engine)));
+    }
+
+    private void recordSavedSegments(PromptSpec prompt, EngineDispatch engine) {
+        ScopedPrompt scoped = scopedPrompt(prompt, engine.weightsVersion().orElse(0));
+        engine.saveTo()
+                .ifPresent(address -> cacheStores().recordSaved(address, scoped.sharedSegments(), System.nanoTime()));
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -9,9 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.geraniumford.core.fleet.SavedSegments;
+import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ServerDirectory;
-import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
@@ -28,11 +27,10 @@
     private final ServerDirectory directory = ServerDirectory.empty(
             name -> routingTable().flatMap(table -> table.service(name)).flatMap(ServiceDefinition::engine));
     private final Map<String, WeightsHistory> weightsHistories = new HashMap<>();
-    private final SavedSegments savedSegments = SavedSegments.empty();
+    private final CacheStores cacheStores = CacheStores.empty();
     private RoutingTable routingTable;
     private Set<String> alivePeers = Set.of();
     private boolean serverListLoaded;
-    private boolean cacheStoreUp = true;
     private int entryCount = ASSUMED_ENTRIES;
 
     private GatewayState(String failureDomain) {
@@ -153,21 +151,12 @@
     }
 
     /**
-     * Returns the cache store if it is available.
+     * Returns the cache stores and the prompt segments that can be fetched from them.
      *
-     * @return the store, or empty if none is configured or it is down
+     * @return the stores, which change over time
      */
-    public Optional<CacheStore> cacheStore() {
-        return cacheStoreUp ? routingTable().flatMap(RoutingTable::cacheStore) : Optional.empty();
-    }
-
-    /**
-     * Returns the prompt segments that can be fetched from the cache store.
-     *
-     * @return the segments, which change over time
-     */
-    public SavedSegments savedSegments() {
-        return savedSegments;
+    public CacheStores cacheStores() {
+        return cacheStores;
     }
 
     /**
@@ -218,6 +207,7 @@
                 .info();
         routingTable = table;
         directory.refreshEngineSpecs();
+        cacheStores.configure(table.cacheStores());
         return true;
     }
 
@@ -252,17 +242,17 @@
     }
 
     /**
-     * Records whether the cache store is available. The known segments are cleared whenever this changes, because a
-     * store that was lost may come back empty.
+     * Records whether a cache store is available.
      *
+     * @param address the store's address
      * @param up true if the store accepts connections
      */
-    public void setCacheStoreAvailable(boolean up) {
-        if (up != cacheStoreUp) {
-            LogEvent.of(up ? "cache_store_regained" : "cache_store_lost").info();
-            savedSegments.clear();
+    public void setCacheStoreAvailable(String address, boolean up) {
+        if (cacheStores.setAvailable(address, up)) {
+            LogEvent.of(up ? "cache_store_regained" : "cache_store_lost")
+                    .with("address", address)
+                    .info();
         }
-        cacheStoreUp = up;
     }
 
     /**
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -139,8 +139,9 @@
                 state.weightsGossip(),
                 rollout.leaseGossip(),
                 new CacheGossip(
-                        state.savedSegments().unannounced(), state.directory().unannouncedPrefills()));
-        state.savedSegments().markAnnounced();
+                        state.cacheStores().savedSegments().unannounced(),
+                        state.directory().unannouncedPrefills()));
+        state.cacheStores().savedSegments().markAnnounced();
         state.directory().markAnnounced();
         connectors.values().forEach(connector -> connector.connectIfDue(nowNanos));
         oneLinkPerPeer().forEach(link -> link.send(gossip));
@@ -230,7 +231,7 @@
         gossip.leaving().forEach(state.directory()::markLeaving);
         rollout.applyLeaseSnapshot(gossip.lease());
         gossip.weights().forEach(state::recordPublishedWeights);
-        state.savedSegments().applyGossip(gossip.cache().savedKeys(), System.nanoTime());
+        state.cacheStores().savedSegments().applyGossip(gossip.cache().savedKeys(), System.nanoTime());
         state.directory().applyGossip(gossip.cache().prefilled());
     }
 
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/GatewayStateTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/GatewayStateTest.java
@@ -8,6 +8,7 @@
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ScopedSegment;
 import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RoutingTable;
@@ -17,6 +18,8 @@
 final class GatewayStateTest {
     private static final List<ScopedSegment> SEGMENTS = List.of(new ScopedSegment(7, 2520));
 
+    private static final String CACHE_STORE = "10.0.0.9:80";
+
     private final GatewayState state = GatewayState.empty("here");
 
     private static RoutingTable table(long version) {
@@ -25,6 +28,12 @@
         return RoutingTable.of(version, List.of(), List.of(engines), List.of(), CallerLimits.DEFAULT);
     }
 
+    private static RoutingTable tableWithCacheStore() {
+        ServiceDefinition store =
+                new ServiceDefinition("store", 100, Optional.empty(), Optional.of(new CacheStore(CACHE_STORE, "here")));
+        return RoutingTable.of(1, List.of(), List.of(store), List.of(), CallerLimits.DEFAULT);
+    }
+
     private ServerState registerServer() {
         state.directory()
                 .register(
@@ -53,8 +62,11 @@
 
     @Test
     void shouldClearSavedSegmentsWhenCacheStoreIsLost() {
-        state.savedSegments().recordSaved(SEGMENTS, 0);
-        state.setCacheStoreAvailable(false);
-        assertThat(state.savedSegments().isSaveDue(SEGMENTS, 0)).isTrue();
+        state.applyConfiguration(tableWithCacheStore(), "test");
+        state.cacheStores().recordSaved(CACHE_STORE, SEGMENTS, 0);
+        assertThat(state.cacheStores().isSaveDue(SEGMENTS, 0)).isFalse();
+        state.setCacheStoreAvailable(CACHE_STORE, false);
+        state.setCacheStoreAvailable(CACHE_STORE, true);
+        assertThat(state.cacheStores().isSaveDue(SEGMENTS, 0)).isTrue();
     }
 }
