The weights lease is sent to a peer when it has changed, not with every message

Cause: each entry sent the lease with the orders of the last 9.5 s to 35 peers six times a second. Change: SentLeases knows which version a link has; a new link gets it first.

--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.geraniumford.core.configuration.Sha256;
 import org.geraniumford.core.fleet.CacheGossip;
+import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
@@ -56,6 +57,7 @@
     private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
     private final Map<Link, String> peerNames = new LinkedHashMap<>();
     private final Map<String, Long> lastSeenNanos = new HashMap<>();
+    private final SentLeases sentLeases = SentLeases.empty();
     private long lastConfigurationRequestId;
     private boolean configurationRequestPending;
     private long configurationRequestSentNanos;
@@ -133,23 +135,30 @@
     /** Announces changes to every peer and connects to missing peers. Must be called several times a second. */
     public void sendGossip() {
         long nowNanos = System.nanoTime();
-        Message.Gossip gossip = new Message.Gossip(
-                state.directory().localLoads(),
-                state.directory().leavingServers(),
-                state.weightsGossip(),
-                rollout.leaseGossip(),
-                new CacheGossip(
-                        state.cacheStores().savedSegments().unannounced(),
-                        state.directory().unannouncedPrefills()));
+        LeaseSnapshot lease = rollout.leaseGossip();
+        Message.Gossip gossipWithLease = gossip(lease);
+        Message.Gossip gossipWithoutLease = gossip(LeaseSnapshot.empty());
         state.cacheStores().savedSegments().markAnnounced();
         state.directory().markAnnounced();
         connectors.values().forEach(connector -> connector.connectIfDue(nowNanos));
-        oneLinkPerPeer().forEach(link -> link.send(gossip));
+        oneLinkPerPeer()
+                .forEach(link -> link.send(sentLeases.isDue(link, lease) ? gossipWithLease : gossipWithoutLease));
         removeSilentPeers(nowNanos);
         state.updateAlivePeers(lastSeenNanos.keySet());
         reportIfDue(nowNanos);
     }
 
+    private Message.Gossip gossip(LeaseSnapshot lease) {
+        return new Message.Gossip(
+                state.directory().localLoads(),
+                state.directory().leavingServers(),
+                state.weightsGossip(),
+                lease,
+                new CacheGossip(
+                        state.cacheStores().savedSegments().unannounced(),
+                        state.directory().unannouncedPrefills()));
+    }
+
     /** Logs what the peers cost, so that late or lost gossip can be told from other causes of a bad choice. */
     private void reportIfDue(long nowNanos) {
         if (nowNanos - lastReportNanos < REPORT_INTERVAL.toNanos()) {
@@ -265,6 +274,7 @@
     @Override
     public void closed(Link link, boolean broken) {
         peerNames.remove(link);
+        sentLeases.remove(link);
         connectors.values().forEach(connector -> connector.detach(link));
     }
 
