A quarter of the engines load new weights at a time, more only if time demands it

Cause: half of the engines could drain and load at once. An ordered engine serves nothing until its longest response has ended, 2 to 6 s, and comes back without a cache, so that half of the fleet carried all prompts uncached. Change: RolloutPlan takes a quarter, and as many more, up to half, as must load at a time for each engine to do so before its weights may no longer be used. It works with the time that the last loads took.

--- a/core/src/main/java/org/geraniumford/core/weights/WeightsHistory.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsHistory.java
@@ -104,6 +104,26 @@
         return initialExpired ? Math.max(observed, newestOfUnknownAge()) : observed;
     }
 
+    /**
+     * Returns how much longer requests may begin on a version.
+     *
+     * @param version the version
+     * @param maxStaleness how long older weights may be used after a version was published
+     * @param nowNanos the present time in nanoseconds of a monotonic clock
+     * @return the time until the first newer version has been published for {@code maxStaleness}, negative afterwards;
+     *     {@code maxStaleness} if there is no newer version; zero if it is not known when one was published
+     */
+    public Duration timeLeft(int version, Duration maxStaleness, long nowNanos) {
+        if (version >= newest()) {
+            return maxStaleness;
+        }
+        if (version < newestOfUnknownAge()) {
+            return Duration.ZERO;
+        }
+        long newerPublishedNanos = publishedNanos.higherEntry(version).getValue();
+        return maxStaleness.minusNanos(nowNanos - newerPublishedNanos);
+    }
+
     /**
      * Returns the newest version, up to the initial one, whose time of publication is unknown. All versions up to the
      * initial one were published before it was found, but only those that peers announced have a time.
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsHistoryTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsHistoryTest.java
@@ -74,4 +74,21 @@
         assertThat(history.gossip("model", 92 * SECOND_NANOS))
                 .containsExactly(new PublishedWeights("model", 3, 2000, false));
     }
+
+    @Test
+    void shouldReturnTheTimeLeftUntilTheNextVersionIsTooOld() {
+        history.recordPublished(2, SECOND_NANOS, SECOND_NANOS);
+        history.recordPublished(4, 5 * SECOND_NANOS, 5 * SECOND_NANOS);
+        assertThat(history.timeLeft(4, MAX_STALENESS, 6 * SECOND_NANOS)).isEqualTo(MAX_STALENESS);
+        assertThat(history.timeLeft(3, MAX_STALENESS, 6 * SECOND_NANOS)).isEqualTo(Duration.ofSeconds(7));
+        assertThat(history.timeLeft(1, MAX_STALENESS, 6 * SECOND_NANOS)).isEqualTo(Duration.ofSeconds(3));
+        assertThat(history.timeLeft(1, MAX_STALENESS, 10 * SECOND_NANOS)).isEqualTo(Duration.ofSeconds(-1));
+    }
+
+    @Test
+    void shouldReturnNoTimeLeftWhenANewerVersionHasAnUnknownAge() {
+        history.recordInitial(4, 100 * SECOND_NANOS, 100 * SECOND_NANOS);
+        assertThat(history.timeLeft(3, MAX_STALENESS, 100 * SECOND_NANOS)).isZero();
+        assertThat(history.timeLeft(4, MAX_STALENESS, 100 * SECOND_NANOS)).isEqualTo(MAX_STALENESS);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -34,12 +34,6 @@
      */
     private static final Duration MAX_TICK_GAP = Duration.ofMillis(400);
 
-    /**
-     * Subtracted from the allowed staleness, because this entry may receive published weights late and a request may
-     * wait at an engine before it begins.
-     */
-    private static final Duration WEIGHTS_STALENESS_MARGIN = Duration.ofSeconds(2);
-
     private static final Duration DEFAULT_CALLER_TIMEOUT = Duration.ofSeconds(60);
 
     private final EventLoop loop;
@@ -223,7 +217,7 @@
     }
 
     int oldestAllowedWeights(String model) {
-        return state.oldestAllowedWeights(model, limits.maxWeightsStaleness().minus(WEIGHTS_STALENESS_MARGIN));
+        return state.oldestAllowedWeights(model, limits.usableWeightsStaleness());
     }
 
     void removeRequest(ForwardedRequest request) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
@@ -20,10 +20,27 @@
         double retrySlack,
         Duration maxWeightsStaleness,
         Duration shutdownGrace) {
+    /**
+     * Subtracted from the allowed staleness, because this entry may receive published weights late and a request may
+     * wait at an engine before it begins.
+     */
+    private static final Duration WEIGHTS_STALENESS_MARGIN = Duration.ofSeconds(2);
+
     /** Checks the components. */
     public GatewayLimits {
         requireNonNull(retryWindow, "retryWindow is null");
         requireNonNull(maxWeightsStaleness, "maxWeightsStaleness is null");
         requireNonNull(shutdownGrace, "shutdownGrace is null");
     }
+
+    // -- queries
+
+    /**
+     * Returns how long after the publication of newer weights this entry sends requests to servers with older ones.
+     *
+     * @return the allowed staleness less a margin of 2 s
+     */
+    public Duration usableWeightsStaleness() {
+        return maxWeightsStaleness.minus(WEIGHTS_STALENESS_MARGIN);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -146,6 +146,18 @@
         return history(model).oldestAllowed(maxStaleness, System.nanoTime());
     }
 
+    /**
+     * Returns how much longer requests may begin on a version of a model's weights.
+     *
+     * @param model the name of the model
+     * @param version the version
+     * @param maxStaleness how long older weights may be used after newer ones were published
+     * @return the time left; zero or negative if requests may no longer begin on it, or if that is not known
+     */
+    public Duration weightsTimeLeft(String model, int version, Duration maxStaleness) {
+        return history(model).timeLeft(version, maxStaleness, System.nanoTime());
+    }
+
     private WeightsHistory history(String model) {
         return weightsHistories.getOrDefault(model, WeightsHistory.empty());
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -44,6 +44,12 @@
      */
     private static final Duration WRITE_BACKOFF = Duration.ofSeconds(1);
 
+    /** The time that a server is assumed to take to drain and load until one has done so. */
+    private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
+
+    /** The weight of the newest order in the moving average of the time to drain and load, from 0 to 1. */
+    private static final double LOAD_TIME_SMOOTHING = 0.2;
+
     /** The minimum time between two writes of the row. */
     private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
 
@@ -58,6 +64,9 @@
      */
     private final Duration orderSpacing;
 
+    /** How long after the publication of newer weights requests are sent to servers with older ones. */
+    private final Duration maxStaleness;
+
     private final RandomGenerator random;
     private final Map<String, PendingOrder> pendingOrders = new HashMap<>();
     /** The completed intents that have not been written into the row yet. */
@@ -68,6 +77,9 @@
     /** Whether the row was read after this host last decided to take over the lease. */
     private boolean rowRead;
 
+    /** A moving average of the time from the intent of an order to its completion. */
+    private double loadTimeMillis = INITIAL_LOAD_TIME.toMillis();
+
     private boolean storeCallPending;
     private boolean stopped;
     /** When this host may take over the lease, from {@link System#nanoTime}, if a takeover is pending. */
@@ -86,12 +98,14 @@
             LeaseStore leaseStore,
             EngineAdmin engines,
             Duration leaseHandoverDelay,
+            Duration maxStaleness,
             RandomGenerator random) {
         this.host = host;
         this.state = state;
         this.leaseStore = leaseStore;
         this.engines = engines;
         this.orderSpacing = leaseHandoverDelay.plus(PendingOrder.ISSUE_WINDOW).plusMillis(500);
+        this.maxStaleness = maxStaleness;
         this.random = random;
     }
 
@@ -105,6 +119,7 @@
      * @param leaseStore the row that holds the weights lease
      * @param engines the client that sends orders to engines
      * @param leaseHandoverDelay the time that must pass between orders of two holders to one server
+     * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
      * @param random the source of the random delay before a takeover
      * @return a controller that acts on {@link #tick}
      */
@@ -114,6 +129,7 @@
             LeaseStore leaseStore,
             EngineAdmin engines,
             Duration leaseHandoverDelay,
+            Duration maxStaleness,
             RandomGenerator random) {
         return new RolloutController(
                 requireNonNull(host, "host is null"),
@@ -121,6 +137,7 @@
                 requireNonNull(leaseStore, "leaseStore is null"),
                 requireNonNull(engines, "engines is null"),
                 requireNonNull(leaseHandoverDelay, "leaseHandoverDelay is null"),
+                requireNonNull(maxStaleness, "maxStaleness is null"),
                 requireNonNull(random, "random is null"));
     }
 
@@ -301,12 +318,18 @@
                     writeStartNanos,
                     engines,
                     () -> lease.holder().equals(host),
-                    completedIntents::add);
+                    this::recordLoaded);
             pendingOrders.put(order.server(), pendingOrder);
             pendingOrder.start();
         }));
     }
 
+    private void recordLoaded(OrderIntent intent) {
+        completedIntents.add(intent);
+        long elapsedMillis = Math.max(0, leaseStore.nowMillis() - intent.recordedMillis());
+        loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
+    }
+
     // -- planning
 
     private List<ServerState> outdatedServers() {
@@ -336,14 +359,17 @@
                         server.server().id(),
                         server.server().failureDomain(),
                         server.weightsVersion(model).orElse(0),
-                        server.totalLoad().running()))
+                        server.totalLoad().running(),
+                        state.weightsTimeLeft(
+                                model, server.weightsVersion(model).orElse(0), maxStaleness)))
                 .toList();
         List<String> loadingDomains = servers.stream()
                 .filter(server ->
                         pendingOrders.containsKey(server.server().id()) || server.isLoading(System.nanoTime()))
                 .map(server -> server.server().failureDomain())
                 .toList();
-        return RolloutPlan.selectServers(candidates, loadingDomains, servers.size()).stream()
+        Duration loadTime = Duration.ofMillis(Math.round(loadTimeMillis));
+        return RolloutPlan.selectServers(candidates, loadingDomains, servers.size(), loadTime).stream()
                 .map(candidate -> new OrderIntent(candidate.server(), model, version, host, storeNowMillis, false))
                 .toList();
     }
