An order's intent is renewed while its engine drains

Cause: an entry avoids an ordered engine for 5 s after the intent. An engine that drains for longer counted as ready again and, without work, was the first choice of all 36 entries; each had to learn by a rejection that it was not. Change: the holder of the lease writes the intents of pending orders anew with each renewal, which peers relay; an order that fails or times out is not renewed. RolloutControllerTest shouldRenewTheIntentOfAnOrderWhileTheEngineDrains fails without it: the second row has the first time.

--- a/core/src/main/java/org/geraniumford/core/weights/OrderIntent.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderIntent.java
@@ -22,6 +22,16 @@
 
     // -- combinators
 
+    /**
+     * Returns a copy of this intent that is recorded again, because its order is not completed yet.
+     *
+     * @param nowMillis the time in milliseconds on the store's clock
+     * @return the renewed intent
+     */
+    public OrderIntent renewedAt(long nowMillis) {
+        return new OrderIntent(server, model, version, holder, nowMillis, done);
+    }
+
     /**
      * Returns a copy of this intent that is marked as done.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -70,6 +70,10 @@
         return server.server().failureDomain();
     }
 
+    OrderIntent intent() {
+        return intent;
+    }
+
     boolean isFinished() {
         return ended || System.nanoTime() - writeStartNanos > ORDER_TIMEOUT.toNanos();
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -272,12 +272,15 @@
         List<OrderIntent> orders = state.publishedWeights().entrySet().stream()
                 .flatMap(entry -> planOrders(entry.getKey(), entry.getValue(), storeNowMillis).stream())
                 .toList();
-        List<OrderIntent> intents = new ArrayList<>(completedIntents);
-        intents.addAll(orders);
         boolean renewalDue = storeNowMillis - lease.renewedMillis() > RENEWAL_INTERVAL.toMillis();
-        if (intents.isEmpty() && !(renewalDue && lease.holder().equals(host))) {
+        if (completedIntents.isEmpty()
+                && orders.isEmpty()
+                && !(renewalDue && lease.holder().equals(host))) {
             return;
         }
+        List<OrderIntent> intents = new ArrayList<>(completedIntents);
+        intents.addAll(renewedIntents(storeNowMillis));
+        intents.addAll(orders);
         WeightsLease renewedLease =
                 lease.renewedBy(host, storeNowMillis, intents, orderSpacing.plus(ESTIMATED_LOADING_TIME));
         int completedCount = completedIntents.size();
@@ -303,6 +306,14 @@
         });
     }
 
+    /** Returns the intents of the pending orders, so that other entries go on avoiding engines that drain for long. */
+    private List<OrderIntent> renewedIntents(long storeNowMillis) {
+        return pendingOrders.values().stream()
+                .filter(order -> !order.isFinished())
+                .map(order -> order.intent().renewedAt(storeNowMillis))
+                .toList();
+    }
+
     private void issueOrders(
             WeightsLease renewedLease, OptionalLong newRowVersion, List<OrderIntent> orders, long writeStartNanos) {
         adoptLease(renewedLease, newRowVersion.getAsLong());
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -0,0 +1,93 @@
+package org.geraniumford.daemon.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.PublishedWeights;
+import org.geraniumford.core.weights.WeightsLease;
+import org.geraniumford.daemon.gateway.GatewayState;
+import org.junit.jupiter.api.Test;
+
+final class RolloutControllerTest {
+    private static final Duration LONGER_THAN_WRITE_INTERVAL = Duration.ofMillis(300);
+
+    private final GatewayState state = GatewayState.empty("here");
+    private final RecordedLeases leases = new RecordedLeases();
+    private final DrainingEngine engine = new DrainingEngine();
+    private final RolloutController controller =
+            RolloutController.of("host", state, leases, engine, Duration.ZERO, Duration.ofSeconds(8), () -> 0L);
+
+    /**
+     * Guards against requests to an engine that drains for longer than the order's intent is valid: it looks idle to
+     * every entry and rejects them all.
+     */
+    @Test
+    void shouldRenewTheIntentOfAnOrderWhileTheEngineDrains() throws Exception {
+        state.directory()
+                .register(
+                        new BackendServer("engine", 1, "engines", "10.0.0.1:80", "here", 8, false, Map.of("model", 1)));
+        state.recordPublishedWeights(new PublishedWeights("model", 2, 0, true));
+        controller.tick();
+        controller.tick();
+        assertThat(engine.orders).isEqualTo(1);
+        assertThat(leases.lastIntents())
+                .containsExactly(new OrderIntent("engine", "model", 2, "host", leases.nowMillis(), false));
+        leases.nowMillis += 1000;
+        Thread.sleep(LONGER_THAN_WRITE_INTERVAL.toMillis());
+        controller.tick();
+        assertThat(leases.lastIntents())
+                .containsExactly(new OrderIntent("engine", "model", 2, "host", leases.nowMillis(), false));
+        assertThat(engine.orders).isEqualTo(1);
+    }
+
+    // -- stand-ins
+
+    private static final class RecordedLeases implements LeaseStore {
+        private final List<WeightsLease> written = new ArrayList<>();
+        private long nowMillis = 100_000;
+
+        List<OrderIntent> lastIntents() {
+            return written.get(written.size() - 1).intents();
+        }
+
+        @Override
+        public CompletableFuture<LeaseSnapshot> read() {
+            return CompletableFuture.completedFuture(LeaseSnapshot.empty());
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
+            written.add(lease);
+            return CompletableFuture.completedFuture(OptionalLong.of(written.size()));
+        }
+
+        @Override
+        public long nowMillis() {
+            return nowMillis;
+        }
+    }
+
+    /** Accepts orders and never loads the weights. */
+    private static final class DrainingEngine implements EngineAdmin {
+        private int orders;
+
+        @Override
+        public CompletableFuture<EngineReport> report(BackendServer server) {
+            return CompletableFuture.completedFuture(new EngineReport(Map.of("model", 1), orders > 0, orders));
+        }
+
+        @Override
+        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order) {
+            orders++;
+            return CompletableFuture.completedFuture(true);
+        }
+    }
+}
