Long prompts avoid engines where many requests wait for them, long responses old weights

Cause: each running request waits while its engine prefills a new prompt. The choice counted 1 ms for a running request, so long prompts and long responses shared every engine. Neither did the choice look at which engines will have to drain next. Change: a prompt's prefill counts a tenth for each request that would wait for it; each output token costs 2 ms for each version by which the weights are behind. ServerChooserTest shouldReturnTheServerWhereFewerRequestsWaitForALongPrompt and shouldReturnAServerThatLoadsLaterWhenTheResponseIsLong.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -21,6 +21,13 @@
     /** The time that each running request adds to one step of the engine. */
     private static final double RUNNING_REQUEST_COST_MS = 1.0;
 
+    /**
+     * How much the delay of other requests counts against that of the request itself. Each running request waits while
+     * the engine prefills a new one. Engines with many running requests therefore get short prompts, and long prompts
+     * go to engines where few requests wait for them.
+     */
+    private static final double INTERFERENCE_WEIGHT = 0.1;
+
     /** The cost of sending one byte to another failure domain. */
     private static final double CROSS_DOMAIN_COST_MS_PER_BYTE = 0.006;
 
@@ -33,6 +40,13 @@
     /** The cost of weights that are not the newest. */
     private static final double OLD_WEIGHTS_COST_MS = 120;
 
+    /**
+     * The cost of each output token for each version by which the weights are behind the newest ones. An engine loads
+     * weights only when its running requests have ended, and serves nothing meanwhile. Long responses therefore go to
+     * the engines that will load last.
+     */
+    private static final double OLD_WEIGHTS_COST_MS_PER_OUTPUT_TOKEN = 2;
+
     /** The cost of a request for which the engine has no free slot or not enough memory beside the running requests. */
     private static final double PREEMPTION_COST_MS = 1000;
 
@@ -131,12 +145,17 @@
         ServerLoad load = state.totalLoad();
         PromptSpec prompt = scoped.prompt();
         long prefillTokens = state.estimatedPrefillTokens(scoped, query.fetchable());
-        boolean hasOldWeights = state.weightsVersion(prompt.model()).orElse(0) < query.newestWeightsVersion();
+        int versionsBehind = query.newestWeightsVersion()
+                - state.weightsVersion(prompt.model()).orElse(0);
         boolean isFull = load.running() >= state.server().slots()
                 || load.reservedTokens() + prompt.totalTokens() > USABLE_MEMORY_FRACTION * state.kvCapacityTokens();
-        return (load.pendingPrefillTokens() + prefillTokens) / PREFILL_TOKENS_PER_MS
+        double prefillMs = prefillTokens / PREFILL_TOKENS_PER_MS;
+        return load.pendingPrefillTokens() / PREFILL_TOKENS_PER_MS
+                + prefillMs
+                + INTERFERENCE_WEIGHT * prefillMs * load.running()
                 + RUNNING_REQUEST_COST_MS * load.running()
-                + (hasOldWeights ? OLD_WEIGHTS_COST_MS : 0)
+                + (versionsBehind > 0 ? OLD_WEIGHTS_COST_MS : 0)
+                + OLD_WEIGHTS_COST_MS_PER_OUTPUT_TOKEN * versionsBehind * prompt.maxOutputTokens()
                 + (isFull ? PREEMPTION_COST_MS : 0);
     }
 
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -162,4 +162,41 @@
         directory.applyGossip("peer", List.of());
         assertThat(state("near-1").totalLoad().running()).isEqualTo(0);
     }
+
+    // -- interference
+
+    /**
+     * Guards against responses that take seconds, and engines that take as long to drain, because every running request
+     * waits for each long prompt.
+     */
+    @Test
+    void shouldReturnTheServerWhereFewerRequestsWaitForALongPrompt() {
+        state("near-1").updatePeerLoad("peer", new ServerLoad("near-1", 12, 12_000, 0));
+        state("near-2").updatePeerLoad("peer", new ServerLoad("near-2", 2, 12_000, 2500));
+        assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-2");
+    }
+
+    /** Guards against engines that must drain long responses before they can load newer weights. */
+    @Test
+    void shouldReturnAServerThatLoadsLaterWhenTheResponseIsLong() {
+        state("near-1").recordWeightsVersion("model", 3);
+        state("near-1").updatePeerLoad("peer", new ServerLoad("near-1", 1, 5000, 34_000));
+        state("near-2").recordWeightsVersion("model", 2);
+        assertThat(chosenId(query(SCOPED, 3))).isEqualTo("near-2");
+        PromptSpec longResponse = new PromptSpec("model", 9000, 400, PROMPT.segments());
+        assertThat(chosenId(query(ScopedPrompt.of("scope", longResponse), 3))).isEqualTo("near-1");
+    }
+
+    private static ServerQuery query(ScopedPrompt prompt, int newestWeightsVersion) {
+        return new ServerQuery(
+                "service",
+                "here",
+                18_000,
+                Optional.of(prompt),
+                newestWeightsVersion,
+                newestWeightsVersion - 1,
+                OptionalLong.empty(),
+                false,
+                Set.of());
+    }
 }
