A request is refused at once when every engine has more work than it can finish

Cause: nothing bounded what an engine had in progress. Above its memory it preempts requests and prefills them again, and evicts the segments that later requests share, so that each request costs more than before: the fleet stays overloaded at a load that it carried a minute ago. Change: an engine has room while it has a free slot, 85 % of its memory or less reserved, and a queue that is prefilled within the route's latency objective. Engines with room go first; if none has any, a first attempt is refused as deadline_unreachable with retry-after 1 s.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -15,9 +15,6 @@
  * in progress, and no advantage outweighs a long queue.
  */
 public final class ServerChooser {
-    /** The number of prompt tokens that an engine prefills per millisecond. */
-    private static final double PREFILL_TOKENS_PER_MS = 100;
-
     /** The time that each running request adds to one step of the engine. */
     private static final double RUNNING_REQUEST_COST_MS = 1.0;
 
@@ -92,14 +89,49 @@
      *     excluded; a suspended or loading one only for a first attempt, if there is no other; empty if there is none
      */
     public Optional<ServerState> choose(ServerDirectory directory, ServerQuery query, long nowNanos) {
-        List<ServerState> eligible = directory.activeServers(query.service()).stream()
-                .filter(state -> !query.excluded().contains(state.server().id()))
-                .filter(state -> hasRequiredWeights(state, query))
-                .toList();
-        return cheapest(eligible.stream().filter(state -> isAvailable(state, nowNanos)), query)
+        List<ServerState> eligible = eligible(directory, query).toList();
+        List<ServerState> available =
+                eligible.stream().filter(state -> isAvailable(state, nowNanos)).toList();
+        return cheapest(available.stream().filter(state -> hasRoom(state, query)), query)
+                .or(() -> cheapest(available.stream(), query))
                 .or(() -> query.excluded().isEmpty() ? cheapest(eligible.stream(), query) : Optional.empty());
     }
 
+    /**
+     * Returns whether a request should be refused because every engine that could run it has more work than it can
+     * finish in time. More work would make all requests late: engines whose memory is full preempt requests and prefill
+     * them again, and evict the segments that later requests share.
+     *
+     * @param directory the known servers
+     * @param query the request's requirements
+     * @param nowNanos the current time, from {@link System#nanoTime}
+     * @return true if engines are available but none has room; always false for a request without a prompt
+     */
+    public boolean isOverloaded(ServerDirectory directory, ServerQuery query, long nowNanos) {
+        List<ServerState> available = eligible(directory, query)
+                .filter(state -> isAvailable(state, nowNanos))
+                .toList();
+        return query.prompt().isPresent()
+                && !available.isEmpty()
+                && available.stream().noneMatch(state -> hasRoom(state, query));
+    }
+
+    private static boolean hasRoom(ServerState state, ServerQuery query) {
+        if (query.prompt().isEmpty()) {
+            return true;
+        }
+        ServerLoad load = state.totalLoad();
+        return load.running() < state.server().slots()
+                && load.reservedTokens() <= USABLE_MEMORY_FRACTION * state.kvCapacityTokens()
+                && load.prefillWait().compareTo(query.targetLatency()) <= 0;
+    }
+
+    private static Stream<ServerState> eligible(ServerDirectory directory, ServerQuery query) {
+        return directory.activeServers(query.service()).stream()
+                .filter(state -> !query.excluded().contains(state.server().id()))
+                .filter(state -> hasRequiredWeights(state, query));
+    }
+
     private Optional<ServerState> cheapest(Stream<ServerState> servers, ServerQuery query) {
         List<ServerState> candidates = servers.toList();
         Optional<ServerState> preferred = rendezvousServer(candidates, query);
@@ -149,8 +181,8 @@
                 - state.weightsVersion(prompt.model()).orElse(0);
         boolean isFull = load.running() >= state.server().slots()
                 || load.reservedTokens() + prompt.totalTokens() > USABLE_MEMORY_FRACTION * state.kvCapacityTokens();
-        double prefillMs = prefillTokens / PREFILL_TOKENS_PER_MS;
-        return load.pendingPrefillTokens() / PREFILL_TOKENS_PER_MS
+        double prefillMs = prefillTokens / ServerLoad.PREFILL_TOKENS_PER_MS;
+        return load.prefillWait().toMillis()
                 + prefillMs
                 + INTERFERENCE_WEIGHT * prefillMs * load.running()
                 + RUNNING_REQUEST_COST_MS * load.running()
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerLoad.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerLoad.java
@@ -2,6 +2,8 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
+
 /**
  * The work that one or more entries have in progress at one backend server.
  *
@@ -12,6 +14,9 @@
  * @param pendingPrefillTokens the estimated number of prompt tokens that the server has yet to prefill
  */
 public record ServerLoad(String server, int running, long reservedTokens, long pendingPrefillTokens) {
+    /** The number of prompt tokens that an engine prefills per millisecond. */
+    static final double PREFILL_TOKENS_PER_MS = 100;
+
     /** Checks the components. */
     public ServerLoad {
         requireNonNull(server, "server is null");
@@ -29,6 +34,17 @@
         return new ServerLoad(server, 0, 0, 0);
     }
 
+    // -- queries
+
+    /**
+     * Estimates how long a new request waits until the server has prefilled the prompts before it.
+     *
+     * @return the time to prefill the pending tokens; zero if there are none
+     */
+    public Duration prefillWait() {
+        return Duration.ofMillis(Math.max(0, Math.round(pendingPrefillTokens / PREFILL_TOKENS_PER_MS)));
+    }
+
     // -- combinators
 
     /**
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -21,6 +22,7 @@
  *     allowed
  * @param firstUnsavedSegment the key of the first shared segment that is not known to be prefilled and saved; empty if
  *     there is none, or without a prompt or a cache store
+ * @param targetLatency the time within which the caller expects the first bytes of the response
  * @param fetchable whether engines can fetch uncached shared segments from the cache store
  * @param excluded the names of the servers that must not be chosen, because the request has or had an attempt there;
  *     empty only for the choice of the first attempt
@@ -33,6 +35,7 @@
         int newestWeightsVersion,
         int minWeightsVersion,
         OptionalLong firstUnsavedSegment,
+        Duration targetLatency,
         boolean fetchable,
         Set<String> excluded) {
     /** Checks and copies the components. */
@@ -41,6 +44,7 @@
         requireNonNull(failureDomain, "failureDomain is null");
         requireNonNull(prompt, "prompt is null");
         requireNonNull(firstUnsavedSegment, "firstUnsavedSegment is null");
+        requireNonNull(targetLatency, "targetLatency is null");
         excluded = Set.copyOf(excluded);
     }
 }
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 
 final class ServerChooserTest {
     private static final long NOW_NANOS = 1_000_000_000L;
+    private static final Duration TARGET_LATENCY = Duration.ofMillis(400);
     private static final PromptSpec PROMPT = new PromptSpec(
             "model", 9000, 100, List.of(new PromptSegment("house", 6000), new PromptSegment("own", 3000)));
     private static final ScopedPrompt SCOPED = ScopedPrompt.of("scope", PROMPT);
@@ -46,6 +48,7 @@
                 newestWeightsVersion,
                 newestWeightsVersion - 1,
                 OptionalLong.empty(),
+                TARGET_LATENCY,
                 false,
                 excluded);
     }
@@ -76,7 +79,16 @@
         state("near-2").cache().recordPrefilled(SCOPED.sharedSegments());
         state("near-2").updatePeerLoad("peer", new ServerLoad("near-2", 3, 27_000, 4000));
         ServerQuery fetchable = new ServerQuery(
-                "service", "here", 18_000, Optional.of(SCOPED), 1, 0, OptionalLong.empty(), true, Set.of());
+                "service",
+                "here",
+                18_000,
+                Optional.of(SCOPED),
+                1,
+                0,
+                OptionalLong.empty(),
+                TARGET_LATENCY,
+                true,
+                Set.of());
         assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-2");
         assertThat(chosenId(fetchable)).isEqualTo("near-1");
     }
@@ -124,9 +136,27 @@
         ServerChooser otherChooser = ServerChooser.of(new Random(99));
         for (int i = 0; i < 20; i++) {
             ServerQuery fromHere = new ServerQuery(
-                    "service", "here", 18_000, Optional.of(SCOPED), 1, 0, OptionalLong.of(i * 7919L), false, Set.of());
+                    "service",
+                    "here",
+                    18_000,
+                    Optional.of(SCOPED),
+                    1,
+                    0,
+                    OptionalLong.of(i * 7919L),
+                    TARGET_LATENCY,
+                    false,
+                    Set.of());
             ServerQuery fromThere = new ServerQuery(
-                    "service", "there", 18_000, Optional.of(SCOPED), 1, 0, OptionalLong.of(i * 7919L), false, Set.of());
+                    "service",
+                    "there",
+                    18_000,
+                    Optional.of(SCOPED),
+                    1,
+                    0,
+                    OptionalLong.of(i * 7919L),
+                    TARGET_LATENCY,
+                    false,
+                    Set.of());
             assertThat(otherChooser.choose(directory, fromThere, NOW_NANOS))
                     .isEqualTo(chooser.choose(directory, fromHere, NOW_NANOS));
         }
@@ -163,7 +193,7 @@
         assertThat(state("near-1").totalLoad().running()).isEqualTo(0);
     }
 
-    // -- interference
+    // -- interference and overload
 
     /**
      * Guards against responses that take seconds, and engines that take as long to drain, because every running request
@@ -196,7 +226,52 @@
                 newestWeightsVersion,
                 newestWeightsVersion - 1,
                 OptionalLong.empty(),
+                TARGET_LATENCY,
                 false,
                 Set.of());
     }
+
+    private void loadAll(ServerLoad load) {
+        List.of("near-1", "near-2", "far").forEach(id -> state(id).updatePeerLoad("peer", load));
+    }
+
+    /**
+     * Guards against a fleet that stays overloaded because every engine keeps more in progress than its memory holds.
+     */
+    @Test
+    void shouldReturnOverloadedWhenNoEngineHasRoom() {
+        assertThat(isOverloaded(query(Set.of(), 1))).isFalse();
+        loadAll(new ServerLoad("any", 10, 86_000, 0));
+        assertThat(isOverloaded(query(Set.of(), 1))).isTrue();
+        loadAll(new ServerLoad("any", 10, 50_000, 41_000));
+        assertThat(isOverloaded(query(Set.of(), 1))).isTrue();
+        loadAll(new ServerLoad("any", 64, 50_000, 0));
+        assertThat(isOverloaded(query(Set.of(), 1))).isTrue();
+        loadAll(new ServerLoad("any", 63, 85_000, 40_000));
+        assertThat(isOverloaded(query(Set.of(), 1))).isFalse();
+    }
+
+    @Test
+    void shouldNotReturnOverloadedWhenOneEngineHasRoomOrTheRequestHasNoPrompt() {
+        loadAll(new ServerLoad("any", 64, 90_000, 90_000));
+        ServerQuery withoutPrompt = new ServerQuery(
+                "service", "here", 0, Optional.empty(), 0, 0, OptionalLong.empty(), TARGET_LATENCY, false, Set.of());
+        assertThat(isOverloaded(withoutPrompt)).isFalse();
+        state("far").updatePeerLoad("peer", ServerLoad.idle("far"));
+        assertThat(isOverloaded(query(Set.of(), 1))).isFalse();
+        assertThat(chosenId(query(Set.of(), 1))).isEqualTo("far");
+    }
+
+    @Test
+    void shouldReturnAServerWithRoomBeforeACheaperOneWithout() {
+        state("near-1").cache().recordPrefilled(SCOPED.segments());
+        state("near-1").updatePeerLoad("peer", new ServerLoad("near-1", 10, 86_000, 0));
+        state("near-2").updatePeerLoad("peer", new ServerLoad("near-2", 10, 86_000, 0));
+        state("far").updatePeerLoad("peer", new ServerLoad("far", 40, 84_000, 39_000));
+        assertThat(chosenId(query(Set.of(), 1))).isEqualTo("far");
+    }
+
+    private boolean isOverloaded(ServerQuery query) {
+        return chooser.isOverloaded(directory, query, NOW_NANOS);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -44,6 +44,11 @@
         return gateway.chooser().choose(gateway.state().directory(), query(attemptedServers), System.nanoTime());
     }
 
+    /** Returns whether the request should be refused, because every engine has more work than it finishes in time. */
+    boolean isOverloaded() {
+        return gateway.chooser().isOverloaded(gateway.state().directory(), query(Set.of()), System.nanoTime());
+    }
+
     /**
      * Chooses the server for the backup of a stream that could not be resumed otherwise: the next best server, if it is
      * in the same failure domain and has the same weights. Empty if that server does not qualify, if no backup is
@@ -86,6 +91,7 @@
                 prompt.map(spec -> gateway.oldestAllowedWeights(spec.model())).orElse(0),
                 scoped.map(inScope -> cacheStores().firstUnsaved(inScope.sharedSegments()))
                         .orElse(OptionalLong.empty()),
+                admitted.route().latencyObjective(),
                 scoped.filter(this::isFetchable).isPresent(),
                 attemptedServers);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -35,6 +35,9 @@
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(250);
 
+    /** Long enough for engines to finish the work in progress. */
+    private static final Duration OVERLOAD_RETRY_AFTER = Duration.ofSeconds(1);
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Gateway gateway;
@@ -104,7 +107,12 @@
         });
         deadlineTimer = gateway.loop()
                 .schedule(this::handleDeadlineExpired, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
-        startNextAttempt();
+        if (planner.isOverloaded()) {
+            refuse(Refusal.notRun(Reason.DEADLINE_UNREACHABLE, "every engine is overloaded")
+                    .withRetryAfter(OVERLOAD_RETRY_AFTER));
+        } else {
+            startNextAttempt();
+        }
     }
 
     /** Abandons the attempt at a silent server if the request may run elsewhere and the budget allows a retry. */
