A busy engine is not taken for a dead one, nor a rejecting one for an idle one

Cause: an entry moves a request when an engine sends it nothing for a second. With 36 entries, one that has a single request there hears nothing of an engine that works for the others. And an engine that rejects is avoided for 200 ms only, however often it does so. Change: the work known to be queued at the engine is added to the second; the suspension doubles with each rejection until the engine responds, and rejections during a suspension count once. ReachabilityTest: two new cases; the case of one rejection is now one of several.

--- a/core/src/main/java/org/geraniumford/core/fleet/Reachability.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/Reachability.java
@@ -8,10 +8,14 @@
  * elsewhere are moved to other servers. Not thread-safe.
  */
 public final class Reachability {
-    /** If a server with work in progress sends nothing for this long, requests that may run elsewhere are moved. */
+    /**
+     * If a server with work in progress sends nothing for this long beyond the time that it needs for the work before
+     * it, requests that may run elsewhere are moved.
+     */
     public static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
 
     private static final Duration FIRST_SUSPENSION = Duration.ofMillis(300);
+    private static final Duration FIRST_REJECTION_SUSPENSION = Duration.ofMillis(200);
     private static final Duration LONGEST_SUSPENSION = Duration.ofSeconds(4);
     /** Keeps the doubling from overflowing; the longest suspension is reached after fewer failures. */
     private static final int MAX_DOUBLINGS = 8;
@@ -23,6 +27,7 @@
     private long suspendedUntilNanos;
     private boolean suspended;
     private int consecutiveFailures;
+    private int consecutiveRejections;
 
     private Reachability() {}
 
@@ -55,12 +60,15 @@
      *
      * @param sinceNanos the time at which the request still in progress was sent, from {@link System#nanoTime}
      * @param nowNanos the current time, from {@link System#nanoTime}
-     * @return true if more than {@link #SILENCE_TIMEOUT} has passed since {@code sinceNanos} and since the last
-     *     {@link #recordActivity}
+     * @param expectedWait how long the server needs for the work of all entries before it responds; with many entries,
+     *     one that has little work there hears nothing of a busy server
+     * @return true if more than {@link #SILENCE_TIMEOUT} and {@code expectedWait} together has passed since
+     *     {@code sinceNanos} and since the last {@link #recordActivity}
      */
-    public boolean isSilent(long sinceNanos, long nowNanos) {
+    public boolean isSilent(long sinceNanos, long nowNanos, Duration expectedWait) {
         boolean activeSince = active && lastActivityNanos - sinceNanos > 0;
-        return nowNanos - (activeSince ? lastActivityNanos : sinceNanos) > SILENCE_TIMEOUT.toNanos();
+        long silentNanos = nowNanos - (activeSince ? lastActivityNanos : sinceNanos);
+        return silentNanos > SILENCE_TIMEOUT.plus(expectedWait).toNanos();
     }
 
     // -- commands
@@ -79,6 +87,7 @@
     public void recordSuccess() {
         suspended = false;
         consecutiveFailures = 0;
+        consecutiveRejections = 0;
     }
 
     /**
@@ -88,19 +97,22 @@
      * @param nowNanos the current time, from {@link System#nanoTime}
      */
     public void recordUnreachable(long nowNanos) {
-        suspend(nowNanos, backoff(consecutiveFailures));
+        suspend(nowNanos, backoff(FIRST_SUSPENSION, consecutiveFailures));
         consecutiveFailures++;
     }
 
     /**
-     * Records that the server rejected a request, and suspends the server. The new suspension replaces the current one,
-     * even if that would last longer.
+     * Records that the server rejected a request, and suspends the server, for longer after each consecutive rejection.
+     * A server that loads weights rejects requests for seconds, and without work in progress it would be the first
+     * choice of every request. Further rejections during a suspension do not change it.
      *
      * @param nowNanos the current time, from {@link System#nanoTime}
-     * @param duration the duration of the suspension
      */
-    public void recordRejection(long nowNanos, Duration duration) {
-        suspend(nowNanos, duration);
+    public void recordRejection(long nowNanos) {
+        if (!isSuspended(nowNanos)) {
+            suspend(nowNanos, backoff(FIRST_REJECTION_SUSPENSION, consecutiveRejections));
+            consecutiveRejections++;
+        }
     }
 
     private void suspend(long nowNanos, Duration duration) {
@@ -108,8 +120,8 @@
         suspendedUntilNanos = nowNanos + duration.toNanos();
     }
 
-    private static Duration backoff(int failures) {
-        Duration duration = FIRST_SUSPENSION.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
+    private static Duration backoff(Duration first, int failures) {
+        Duration duration = first.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
         return duration.compareTo(LONGEST_SUSPENSION) < 0 ? duration : LONGEST_SUSPENSION;
     }
 }
--- a/core/src/test/java/org/geraniumford/core/fleet/ReachabilityTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ReachabilityTest.java
@@ -13,8 +13,19 @@
     @Test
     void shouldReturnSilentWhenTheServerSendsNothingForOneSecond() {
         reachability.recordActivity(600 * NANOS_PER_MILLI);
-        assertThat(reachability.isSilent(0, 1500 * NANOS_PER_MILLI)).isFalse();
-        assertThat(reachability.isSilent(0, 1700 * NANOS_PER_MILLI)).isTrue();
+        assertThat(reachability.isSilent(0, 1500 * NANOS_PER_MILLI, Duration.ZERO))
+                .isFalse();
+        assertThat(reachability.isSilent(0, 1700 * NANOS_PER_MILLI, Duration.ZERO))
+                .isTrue();
+    }
+
+    /** Guards against moving requests away from a server that is busy with the requests of other entries. */
+    @Test
+    void shouldNotReturnSilentWhileTheServerNeedsTheTimeForWorkBeforeTheRequest() {
+        assertThat(reachability.isSilent(0, 1700 * NANOS_PER_MILLI, Duration.ofMillis(800)))
+                .isFalse();
+        assertThat(reachability.isSilent(0, 1900 * NANOS_PER_MILLI, Duration.ofMillis(800)))
+                .isTrue();
     }
 
     @Test
@@ -40,9 +51,24 @@
     }
 
     @Test
-    void shouldSuspendForTheGivenTimeWhenTheServerRejectsARequest() {
-        reachability.recordRejection(0, Duration.ofMillis(200));
-        assertThat(reachability.isSuspended(100 * NANOS_PER_MILLI)).isTrue();
-        assertThat(reachability.isSuspended(300 * NANOS_PER_MILLI)).isFalse();
+    void shouldSuspendForLongerAfterEachRejectionUntilTheServerResponds() {
+        reachability.recordRejection(0);
+        assertThat(reachability.isSuspended(199 * NANOS_PER_MILLI)).isTrue();
+        assertThat(reachability.isSuspended(200 * NANOS_PER_MILLI)).isFalse();
+        reachability.recordRejection(300 * NANOS_PER_MILLI);
+        assertThat(reachability.isSuspended(699 * NANOS_PER_MILLI)).isTrue();
+        assertThat(reachability.isSuspended(700 * NANOS_PER_MILLI)).isFalse();
+        reachability.recordSuccess();
+        reachability.recordRejection(1000 * NANOS_PER_MILLI);
+        assertThat(reachability.isSuspended(1200 * NANOS_PER_MILLI)).isFalse();
+    }
+
+    /** Guards against a long suspension because several requests in progress are rejected at once. */
+    @Test
+    void shouldCountRejectionsDuringASuspensionOnce() {
+        for (int i = 0; i < 10; i++) {
+            reachability.recordRejection(i);
+        }
+        assertThat(reachability.isSuspended(200 * NANOS_PER_MILLI)).isFalse();
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -18,7 +18,6 @@
 /** One attempt of a request at one backend server. Runs on the gateway's network thread. */
 final class Attempt implements ResponseListener {
     private static final int MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
-    private static final Duration REJECTION_SUSPENSION = Duration.ofMillis(200);
 
     private final ForwardedRequest request;
     private final ServerState server;
@@ -61,7 +60,9 @@
     }
 
     boolean isSilent(long nowNanos) {
-        return isSent() && server.reachability().isSilent(sentNanos, nowNanos);
+        return isSent()
+                && server.reachability()
+                        .isSilent(sentNanos, nowNanos, server.totalLoad().prefillWait());
     }
 
     String detail() {
@@ -264,7 +265,7 @@
     }
 
     private void handleRejection(Reason reason) {
-        server.reachability().recordRejection(System.nanoTime(), REJECTION_SUSPENSION);
+        server.reachability().recordRejection(System.nanoTime());
         endWithFailure(new AttemptFailure.TurnedAway(), reason);
     }
 
