Added load is announced within 10 ms

Cause: entries announced their load every 150 ms. In that time 36 entries send 20 long prompts, and all choose the engine that was idle at the last message. Change: the start of an attempt schedules gossip 10 ms later, together with what is added meanwhile; the message every 150 ms remains.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -111,6 +111,7 @@
     void start() {
         server.recordAttemptStart(totalTokens, prefillTokens);
         prefilling = true;
+        request.gateway().state().reportLoadAdded();
         request.gateway().pool().acquire(server.server().address(), this::handleConnected, this::handleConnectFailure);
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -28,6 +28,7 @@
             name -> routingTable().flatMap(table -> table.service(name)).flatMap(ServiceDefinition::engine));
     private final Map<String, WeightsHistory> weightsHistories = new HashMap<>();
     private final CacheStores cacheStores = CacheStores.empty();
+    private Runnable loadListener = () -> {};
     private RoutingTable routingTable;
     private Set<String> alivePeers = Set.of();
     private boolean serverListLoaded;
@@ -248,6 +249,20 @@
         }
     }
 
+    /**
+     * Sets the listener for load that this entry adds to a server.
+     *
+     * @param listener called after each start of an attempt
+     */
+    public void onLoadAdded(Runnable listener) {
+        loadListener = requireNonNull(listener, "listener is null");
+    }
+
+    /** Reports that this entry has added load to a server, so that the other entries learn of it soon. */
+    void reportLoadAdded() {
+        loadListener.run();
+    }
+
     /** Records that the list of servers has been read. */
     public void markServerListLoaded() {
         serverListLoaded = true;
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -2,7 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collection;
@@ -11,10 +11,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.geraniumford.core.configuration.Sha256;
 import org.geraniumford.core.fleet.CacheGossip;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Envelope;
+import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -43,6 +45,9 @@
 
     private static final int MAX_BACKOFF_DOUBLINGS = 4;
 
+    /** Added load is announced after this delay, together with what is added meanwhile. */
+    private static final Duration LOAD_GOSSIP_DELAY = Duration.ofMillis(10);
+
     /** How often the number of peers and the bytes sent to them are logged. */
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
 
@@ -52,33 +57,39 @@
     private final GatewayState state;
     private final ConfigurationRelay configuration;
     private final RolloutController rollout;
+    private final EventLoop loop;
     private final LinkNetwork network;
     private final InetSocketAddress ownAddress;
     private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
     private final Map<Link, String> peerNames = new LinkedHashMap<>();
     private final Map<String, Long> lastSeenNanos = new HashMap<>();
+
     private final SentLeases sentLeases = SentLeases.empty();
     private long lastConfigurationRequestId;
     private boolean configurationRequestPending;
     private long configurationRequestSentNanos;
+    private boolean gossipScheduled;
     private long lastReportNanos = System.nanoTime();
     private long reportedBytes;
 
+    private final SentLeases sentLeases = SentLeases.empty();
+
     private GossipExchange(
             String host,
             GatewayState state,
             ConfigurationRelay configuration,
             RolloutController rollout,
-            EventLoopGroup group,
+            EventLoop loop,
             InetSocketAddress ownAddress) {
         this.rollout = rollout;
         this.host = host;
         this.state = state;
         this.configuration = configuration;
         this.ownAddress = ownAddress;
+        this.loop = loop;
         Message.Hello hello = new Message.Hello(host, Role.ENTRY, state.failureDomain(), "");
         long incarnation = System.currentTimeMillis() * MICROS_PER_MILLI;
-        this.network = LinkNetwork.of(group, new LinkIdentity(hello, incarnation, configuration::version));
+        this.network = LinkNetwork.of(loop, new LinkIdentity(hello, incarnation, configuration::version));
     }
 
     // -- construction
@@ -90,7 +101,7 @@
      * @param state the state that is announced to peers and updated by their gossip
      * @param configuration the configuration in force
      * @param rollout the controller that announces and receives the weights lease
-     * @param group the network thread
+     * @param loop the network thread
      * @param ownAddress the address at which this entry listens for peers
      * @return an exchange without peers
      */
@@ -99,14 +110,14 @@
             GatewayState state,
             ConfigurationRelay configuration,
             RolloutController rollout,
-            EventLoopGroup group,
+            EventLoop loop,
             InetSocketAddress ownAddress) {
         return new GossipExchange(
                 requireNonNull(host, "host is null"),
                 requireNonNull(state, "state is null"),
                 requireNonNull(configuration, "configuration is null"),
                 requireNonNull(rollout, "rollout is null"),
-                requireNonNull(group, "group is null"),
+                requireNonNull(loop, "loop is null"),
                 requireNonNull(ownAddress, "ownAddress is null"));
     }
 
@@ -132,8 +143,20 @@
                 .forEach(address -> connectors.computeIfAbsent(address, PeerConnector::new));
     }
 
+    /**
+     * Announces this entry's load soon. Entries that choose servers by outdated loads all choose the one that was idle.
+     * Called on the network thread.
+     */
+    public void scheduleGossip() {
+        if (!gossipScheduled) {
+            gossipScheduled = true;
+            loop.schedule(this::sendGossip, LOAD_GOSSIP_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Announces changes to every peer and connects to missing peers. Must be called several times a second. */
     public void sendGossip() {
+        gossipScheduled = false;
         long nowNanos = System.nanoTime();
         LeaseSnapshot lease = rollout.leaseGossip();
         Message.Gossip gossipWithLease = gossip(lease);
@@ -178,6 +201,17 @@
         Map<String, Link> byPeer = new HashMap<>();
         peerNames.forEach((link, peer) -> {
             if (link.isOpen() && !peer.equals(host)) {
+    private Message.Gossip gossip(LeaseSnapshot lease) {
+        return new Message.Gossip(
+                state.directory().localLoads(),
+                state.directory().leavingServers(),
+                state.weightsGossip(),
+                lease,
+                new CacheGossip(
+                        state.cacheStores().savedSegments().unannounced(),
+                        state.directory().unannouncedPrefills()));
+    }
+
                 byPeer.put(peer, link);
             }
         });
@@ -294,6 +328,7 @@
             boolean connected = link != null && link.isOpen();
             if (!connected && !connecting && nowNanos - nextConnectNanos >= 0) {
                 connect();
+        sentLeases.remove(link);
             }
         }
 
