--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -16,7 +16,6 @@
 import org.geraniumford.core.fleet.CacheGossip;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Envelope;
-import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -63,7 +62,6 @@
     private final Map<InetSocketAddress, PeerConnector> connectors = new HashMap<>();
     private final Map<Link, String> peerNames = new LinkedHashMap<>();
     private final Map<String, Long> lastSeenNanos = new HashMap<>();
-
     private final SentLeases sentLeases = SentLeases.empty();
     private long lastConfigurationRequestId;
     private boolean configurationRequestPending;
@@ -72,8 +70,6 @@
     private long lastReportNanos = System.nanoTime();
     private long reportedBytes;
 
-    private final SentLeases sentLeases = SentLeases.empty();
-
     private GossipExchange(
             String host,
             GatewayState state,
@@ -201,17 +197,6 @@
         Map<String, Link> byPeer = new HashMap<>();
         peerNames.forEach((link, peer) -> {
             if (link.isOpen() && !peer.equals(host)) {
-    private Message.Gossip gossip(LeaseSnapshot lease) {
-        return new Message.Gossip(
-                state.directory().localLoads(),
-                state.directory().leavingServers(),
-                state.weightsGossip(),
-                lease,
-                new CacheGossip(
-                        state.cacheStores().savedSegments().unannounced(),
-                        state.directory().unannouncedPrefills()));
-    }
-
                 byPeer.put(peer, link);
             }
         });
@@ -328,7 +313,6 @@
             boolean connected = link != null && link.isOpen();
             if (!connected && !connecting && nowNanos - nextConnectNanos >= 0) {
                 connect();
-        sentLeases.remove(link);
             }
         }
 
