--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -40,11 +40,15 @@
 
     /** Returns a query that allows the newest weights and the version before them. */
     private static ServerQuery query(Set<String> excluded, int newestWeightsVersion) {
+        return query(SCOPED, newestWeightsVersion, excluded);
+    }
+
+    private static ServerQuery query(ScopedPrompt prompt, int newestWeightsVersion, Set<String> excluded) {
         return new ServerQuery(
                 "service",
                 "here",
                 18_000,
-                Optional.of(SCOPED),
+                Optional.of(prompt),
                 newestWeightsVersion,
                 newestWeightsVersion - 1,
                 OptionalLong.empty(),
@@ -212,23 +216,10 @@
         state("near-1").recordWeightsVersion("model", 3);
         state("near-1").updatePeerLoad("peer", new ServerLoad("near-1", 1, 5000, 34_000));
         state("near-2").recordWeightsVersion("model", 2);
-        assertThat(chosenId(query(SCOPED, 3))).isEqualTo("near-2");
+        assertThat(chosenId(query(Set.of(), 3))).isEqualTo("near-2");
         PromptSpec longResponse = new PromptSpec("model", 9000, 400, PROMPT.segments());
-        assertThat(chosenId(query(ScopedPrompt.of("scope", longResponse), 3))).isEqualTo("near-1");
-    }
-
-    private static ServerQuery query(ScopedPrompt prompt, int newestWeightsVersion) {
-        return new ServerQuery(
-                "service",
-                "here",
-                18_000,
-                Optional.of(prompt),
-                newestWeightsVersion,
-                newestWeightsVersion - 1,
-                OptionalLong.empty(),
-                TARGET_LATENCY,
-                false,
-                Set.of());
+        assertThat(chosenId(query(ScopedPrompt.of("scope", longResponse), 3, Set.of())))
+                .isEqualTo("near-1");
     }
 
     private void loadAll(ServerLoad load) {
