Engines of unknown capacity are not full; a refusal for overload logs its inputs

Where the configuration gives engines no capacity, one running request made an engine full, and with all of them full every further prompt would have been refused. And a refusal showed no inputs. Change: an unknown capacity bounds nothing; 'overloaded' gives the least running requests, reserved and queued tokens of any engine that could run the request. Result: ServerChooserTest shouldNotReturnOverloadedWhenTheCapacityOfTheEnginesIsUnknown fails without it.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -121,8 +121,9 @@
             return true;
         }
         ServerLoad load = state.totalLoad();
+        boolean capacityUnknown = state.kvCapacityTokens() == 0;
         return load.running() < state.server().slots()
-                && load.reservedTokens() <= USABLE_MEMORY_FRACTION * state.kvCapacityTokens()
+                && (capacityUnknown || load.reservedTokens() <= USABLE_MEMORY_FRACTION * state.kvCapacityTokens())
                 && load.prefillWait().compareTo(query.targetLatency()) <= 0;
     }
 
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -253,6 +253,16 @@
         assertThat(chosenId(query(Set.of(), 1))).isEqualTo("far");
     }
 
+    /** Guards against refusing everything where the configuration does not tell how much the engines hold. */
+    @Test
+    void shouldNotReturnOverloadedWhenTheCapacityOfTheEnginesIsUnknown() {
+        ServerDirectory unknownCapacity = ServerDirectory.empty(name -> Optional.empty());
+        unknownCapacity.register(server("only", "here", 1));
+        unknownCapacity.find("only").orElseThrow().updatePeerLoad("peer", new ServerLoad("only", 2, 18_000, 0));
+        assertThat(chooser.isOverloaded(unknownCapacity, query(Set.of(), 1), NOW_NANOS))
+                .isFalse();
+    }
+
     @Test
     void shouldReturnAServerWithRoomBeforeACheaperOneWithout() {
         state("near-1").cache().recordPrefilled(SCOPED.segments());
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -2,13 +2,16 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ScopedPrompt;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerQuery;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.prompt.PromptSpec;
@@ -16,6 +19,7 @@
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RouteKind;
 import org.geraniumford.core.service.ServiceDefinition;
+import org.geraniumford.transport.log.LogEvent;
 
 /** Chooses servers for one request and plans what is sent to them, using the gateway's estimates at that moment. */
 final class DispatchPlanner {
@@ -49,6 +53,24 @@
         return gateway.chooser().isOverloaded(gateway.state().directory(), query(Set.of()), System.nanoTime());
     }
 
+    /** Logs the least load of any engine that could run the request; a refusal for overload is based on it. */
+    void logOverload() {
+        List<ServerLoad> loads = gateway.state().directory().activeServers(admitted.service()).stream()
+                .map(ServerState::totalLoad)
+                .toList();
+        LogEvent.of("overloaded")
+                .with("request", admitted.request().id())
+                .with("engines", loads.size())
+                .with("running", least(loads, ServerLoad::running))
+                .with("reserved_tokens", least(loads, ServerLoad::reservedTokens))
+                .with("queued_tokens", least(loads, ServerLoad::pendingPrefillTokens))
+                .info();
+    }
+
+    private static long least(List<ServerLoad> loads, ToLongFunction<ServerLoad> figure) {
+        return loads.stream().mapToLong(figure).min().orElse(0);
+    }
+
     /**
      * Chooses the server for the backup of a stream that could not be resumed otherwise: the next best server, if it is
      * in the same failure domain and has the same weights. Empty if that server does not qualify, if no backup is
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -108,6 +108,7 @@
         deadlineTimer = gateway.loop()
                 .schedule(this::handleDeadlineExpired, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
         if (planner.isOverloaded()) {
+            planner.logOverload();
             refuse(Refusal.notRun(Reason.DEADLINE_UNREACHABLE, "every engine is overloaded")
                     .withRetryAfter(OVERLOAD_RETRY_AFTER));
         } else {
