A caller that still sends a body that is too large gets the response

Cause: the response closes the connection while body bytes are under way. The system then resets the connection, and the caller drops a response that it has not read yet. Change: after a request that could not be read, only the own direction is ended; what arrives is dropped until the caller closes or a second has passed. Further requests on the connection are not handled. This is the product's own door; the platform's entry reads callers with CallerServer, which was not looked into.

--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
@@ -42,6 +42,9 @@
     private volatile byte[] body;
     private final boolean keepAlive;
 
+    /** Whether the request could not be read to its end, so that the caller may still be sending it. */
+    private final boolean requestUnread;
+
     /** Called once the response has been written completely, or writing its end has failed. */
     private final Runnable endListener;
 
@@ -56,8 +59,8 @@
         this.uri = request.uri();
         this.headers = request.headers().copy();
         this.body = ByteBufUtil.getBytes(request.content());
-        this.keepAlive =
-                HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+        this.requestUnread = request.decoderResult().isFailure();
+        this.keepAlive = HttpUtil.isKeepAlive(request) && !requestUnread;
         this.endListener = endListener;
     }
 
@@ -283,7 +286,7 @@
             endListener.run();
         });
         if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            written.addListener(requestUnread ? LingeringClose.LISTENER : ChannelFutureListener.CLOSE);
         }
     }
 }
--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchangeHandler.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchangeHandler.java
@@ -18,12 +18,18 @@
     private final Queue<FullHttpRequest> waiting = new ArrayDeque<>();
     private HttpExchange current;
 
+    /** Whether the connection ends with the current response; what arrives afterwards is dropped. */
+    private boolean closing;
+
     HttpExchangeHandler(HttpService service) {
         this.service = service;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (closing) {
+            return;
+        }
         if (current == null) {
             begin(context, request);
         } else if (waiting.size() < MAX_PIPELINED_REQUESTS) {
@@ -66,6 +72,7 @@
         if (failure == null) {
             service.handle(exchange);
         } else {
+            closing = true;
             service.requestUnreadable(exchange, reasonOf(failure));
         }
     }
--- a/transport/src/test/java/org/geraniumford/transport/http/HttpServerTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/http/HttpServerTest.java
@@ -65,6 +65,25 @@
         assertThat(response.body()).isEqualTo("BODY_TOO_LARGE");
     }
 
+    /** Guards against resetting the connection of a caller that still sends, which then loses the response. */
+    @Test
+    void shouldDeliverTheResponseWhenTheCallerStillSendsABodyThatIsTooLarge() throws Exception {
+        try (Socket socket =
+                new Socket(server.address().getAddress(), server.address().getPort())) {
+            socket.setSoTimeout(TIMEOUT_SECONDS * 1000);
+            byte[] part = "x".repeat(100_000).getBytes(StandardCharsets.UTF_8);
+            socket.getOutputStream()
+                    .write("POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n"
+                            .getBytes(StandardCharsets.UTF_8));
+            for (int i = 0; i < 3; i++) {
+                socket.getOutputStream().write(part);
+                Thread.sleep(50);
+            }
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertThat(response).startsWith("HTTP/1.1 413").endsWith("BODY_TOO_LARGE");
+        }
+    }
+
     // -- streamed responses
 
     @ParameterizedTest
