--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -1,15 +1,18 @@
 package org.geraniumford.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.OptionalInt;
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
 import org.geraniumford.core.prompt.PromptSpec;
+import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.ResponseListener;
 import org.geraniumford.transport.forward.ServerConnection;
@@ -30,6 +33,7 @@
     private ServerConnection connection;
     private ResponseKind kind;
     private HttpResponse head;
+    private final EventFramer observedEvents = EventFramer.empty();
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     /** A description of the failure for the log; empty if there is none. */
     private String detail = "";
@@ -215,6 +219,7 @@
                 request.planner().recordSavedSegments(dispatch);
             }
             recordPrefillEnd();
+            observedEvents.feed(ByteBufUtil.getBytes(chunk));
             request.forwardStreamChunk(head, chunk);
         } else if (body.readableBytes() + chunk.readableBytes() <= MAX_BUFFERED_RESPONSE_BYTES) {
             body = Unpooled.wrappedBuffer(body, chunk.retainedSlice());
@@ -275,6 +280,7 @@
             failed("the stream ends within an event");
             return;
         }
+        logResponseEnd();
         markEnded();
         server.recordSuccess();
         if (isStreamResponse()) {
@@ -284,6 +290,24 @@
         }
     }
 
+    /** Logs what marked the end of the response, and whether a stream ended within an event. */
+    private void logResponseEnd() {
+        LogEvent.of("response_ended")
+                .with("request", request.admitted().request().id())
+                .with("server", server.server().id())
+                .with("status", head.status().code())
+                .with("ended_by", endMark())
+                .with("within_event", isStreamResponse() && observedEvents.hasPartialEvent())
+                .info();
+    }
+
+    private String endMark() {
+        if (HttpUtil.isTransferEncodingChunked(head)) {
+            return "last_chunk";
+        }
+        return HttpUtil.isContentLengthSet(head) ? "length" : "connection";
+    }
+
     @Override
     public void failed(String reason) {
         if (ended) {
