--- a/core/src/main/java/org/geraniumford/core/stream/EventFramer.java
+++ b/core/src/main/java/org/geraniumford/core/stream/EventFramer.java
@@ -1,19 +1,40 @@
 package org.geraniumford.core.stream;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
 
 /**
- * Splits a byte stream of server-sent events at event boundaries, so that a stream that breaks within an event can be
- * resumed at another server after the last complete event. Not thread-safe.
+ * Splits a byte stream of server-sent events at event boundaries, and decides whether the stream may end where it does.
+ * An event ends with an empty line; lines end with CR, LF or CR LF. Reads each byte once. Not thread-safe.
  */
 public final class EventFramer {
+    /** The maximum size of one event in bytes, so that an event without an end does not fill the memory. */
+    public static final int MAX_EVENT_BYTES = 64 * 1024;
+
+    private static final int INITIAL_CAPACITY_BYTES = 256;
     private static final byte[] EMPTY = {};
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-    private byte[] partialEvent = EMPTY;
+    /** The bytes that were read and not returned yet: those of an incomplete event. */
+    private byte[] pending = new byte[INITIAL_CAPACITY_BYTES];
+
+    private int pendingLength;
+
+    /** The offset in {@link #pending} at which the current line starts. */
+    private int lineStart;
+
+    private boolean afterCarriageReturn;
+
+    /** Whether the incomplete event has a line that is not a comment. */
+    private boolean anyField;
+
+    private boolean anyEvent;
+    private boolean oversized;
+
+    /** The identifier in the incomplete event; empty if there is none yet. */
+    private Optional<String> pendingEventId = Optional.empty();
+
     private Optional<String> lastEventId = Optional.empty();
 
     private EventFramer() {}
@@ -46,7 +67,27 @@
      * @return true within an event
      */
     public boolean hasPartialEvent() {
-        return partialEvent.length > 0;
+        return pendingLength > 0;
+    }
+
+    /**
+     * Returns whether an event exceeds {@link #MAX_EVENT_BYTES}. The stream cannot be read on then.
+     *
+     * @return true once an event is too large
+     */
+    public boolean isOversized() {
+        return oversized;
+    }
+
+    /**
+     * Returns whether the stream is complete if it ends here. A stream that ends within an event has been broken off. A
+     * stream without any event is complete only if its server marked the end of it.
+     *
+     * @param endMarked whether a length or a last chunk marked the end, rather than the end of the connection
+     * @return true if the stream of the current attempt is complete
+     */
+    public boolean isCompleteAtEnd(boolean endMarked) {
+        return !hasPartialEvent() && !oversized && (endMarked || anyEvent);
     }
 
     // -- commands
@@ -58,59 +99,86 @@
      * @return the bytes of the events that are now complete, unchanged; empty if there are none
      */
     public byte[] feed(byte[] bytes) {
-        byte[] all = partialEvent.length == 0 ? bytes : concat(partialEvent, bytes);
-        int end = endOfLastEvent(all);
-        if (end == 0) {
-            partialEvent = all;
+        if (oversized) {
             return EMPTY;
         }
-        byte[] complete = end == all.length ? all : Arrays.copyOf(all, end);
-        partialEvent = end == all.length ? EMPTY : Arrays.copyOfRange(all, end, all.length);
-        updateLastEventId(complete);
+        int scanStart = pendingLength;
+        append(bytes);
+        int end = endOfLastEvent(scanStart);
+        byte[] complete = end == 0 ? EMPTY : Arrays.copyOf(pending, end);
+        discardFirst(end);
+        oversized = pendingLength > MAX_EVENT_BYTES;
         return complete;
     }
 
-    /** Discards the bytes of an incomplete event, because the server that resumes the stream sends the whole event. */
+    /**
+     * Discards the bytes of an incomplete event, because the server that resumes the stream sends the whole event.
+     * Whether its stream is complete is decided by what it sends itself.
+     */
     public void discardPartialEvent() {
-        partialEvent = EMPTY;
-    }
-
-    private static byte[] concat(byte[] first, byte[] second) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(first.length + second.length);
-        out.writeBytes(first);
-        out.writeBytes(second);
-        return out.toByteArray();
+        pendingLength = 0;
+        lineStart = 0;
+        afterCarriageReturn = false;
+        anyEvent = false;
+        anyField = false;
+        oversized = false;
+        pendingEventId = Optional.empty();
     }
 
-    /** Returns the offset after the last complete event, which ends with an empty line; 0 if there is none. */
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int i = bytes.length - 1; i > 0; i--) {
-            if (bytes[i] == '\n' && isEventEnd(bytes, i)) {
-                return i + 1;
-            }
+    private void append(byte[] bytes) {
+        int length = pendingLength + bytes.length;
+        if (length > pending.length) {
+            pending = Arrays.copyOf(pending, Math.max(length, 2 * pending.length));
         }
-        return 0;
+        System.arraycopy(bytes, 0, pending, pendingLength, bytes.length);
+        pendingLength = length;
     }
 
-    private static boolean isEventEnd(byte[] bytes, int index) {
-        return bytes[index - 1] == '\n' || (index > 1 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n');
+    private void discardFirst(int count) {
+        if (count > 0) {
+            System.arraycopy(pending, count, pending, 0, pendingLength - count);
+            pendingLength -= count;
+            lineStart -= count;
+        }
     }
 
-    private void updateLastEventId(byte[] events) {
-        int lineStart = 0;
-        for (int i = 0; i < events.length; i++) {
-            if (events[i] == '\n') {
-                updateLastEventIdFromLine(events, lineStart, i);
+    /** Reads the pending bytes from an offset on, and returns the offset after the last complete event; 0 if none. */
+    private int endOfLastEvent(int scanStart) {
+        int end = 0;
+        for (int i = scanStart; i < pendingLength; i++) {
+            boolean secondOfPair = pending[i] == '\n' && afterCarriageReturn;
+            afterCarriageReturn = pending[i] == '\r';
+            if (secondOfPair) {
+                // Belongs to the line end before it, which may have ended the event.
+                end = lineStart == i && end == i ? i + 1 : end;
+                lineStart = i + 1;
+            } else if (pending[i] == '\n' || pending[i] == '\r') {
+                end = endLine(i) ? i + 1 : end;
                 lineStart = i + 1;
             }
         }
+        return end;
+    }
+
+    /** Reads the line that ends before an offset, and returns whether it is the empty line at the end of an event. */
+    private boolean endLine(int lineEnd) {
+        if (lineEnd > lineStart) {
+            anyField = anyField || pending[lineStart] != ':';
+            readId(lineEnd);
+            return false;
+        }
+        lastEventId = pendingEventId.or(() -> lastEventId);
+        pendingEventId = Optional.empty();
+        anyEvent = anyEvent || anyField;
+        anyField = false;
+        return true;
     }
 
-    private void updateLastEventIdFromLine(byte[] events, int lineStart, int lineEnd) {
+    private void readId(int lineEnd) {
         int valueStart = lineStart + ID_FIELD.length;
-        if (valueStart <= lineEnd && Arrays.equals(events, lineStart, valueStart, ID_FIELD, 0, ID_FIELD.length)) {
-            lastEventId =
-                    Optional.of(new String(events, valueStart, lineEnd - valueStart, StandardCharsets.UTF_8).strip());
+        if (valueStart <= lineEnd && Arrays.equals(pending, lineStart, valueStart, ID_FIELD, 0, ID_FIELD.length)) {
+            pendingEventId =
+                    Optional.of(new String(pending, valueStart, lineEnd - valueStart, StandardCharsets.UTF_8).strip());
         }
     }
 }
--- a/core/src/test/java/org/geraniumford/core/stream/EventFramerTest.java
+++ b/core/src/test/java/org/geraniumford/core/stream/EventFramerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
@@ -65,4 +66,58 @@
             assertThat(framer.lastEventId()).contains("20");
         }
     }
+
+    // -- the end of a stream
+
+    @Test
+    void shouldNotBeCompleteWhenTheStreamEndsWithinAnEvent() {
+        EventFramer framer = EventFramer.empty();
+        framer.feed(bytes("id: 1\n\nid: 2\n"));
+        assertThat(framer.isCompleteAtEnd(true)).isFalse();
+        assertThat(framer.isCompleteAtEnd(false)).isFalse();
+        framer.feed(bytes("\n"));
+        assertThat(framer.isCompleteAtEnd(false)).isTrue();
+    }
+
+    @Test
+    void shouldBeCompleteWithoutAnyEventOnlyWhenTheEndIsMarked() {
+        EventFramer framer = EventFramer.empty();
+        framer.feed(bytes(": a comment\n\n"));
+        assertThat(framer.isCompleteAtEnd(true)).isTrue();
+        assertThat(framer.isCompleteAtEnd(false)).isFalse();
+    }
+
+    @Test
+    void shouldJudgeAResumedStreamByItsOwnEvents() {
+        EventFramer framer = EventFramer.empty();
+        framer.feed(bytes("id: 1\n\nid: 2\nda"));
+        framer.discardPartialEvent();
+        assertThat(framer.isCompleteAtEnd(false)).isFalse();
+        assertThat(framer.lastEventId()).contains("1");
+    }
+
+    @Test
+    void shouldBeOversizedWhenAnEventDoesNotEnd() {
+        EventFramer framer = EventFramer.empty();
+        framer.feed(bytes("data: " + "x".repeat(EventFramer.MAX_EVENT_BYTES - 6)));
+        assertThat(framer.isOversized()).isFalse();
+        framer.feed(bytes("x"));
+        assertThat(framer.isOversized()).isTrue();
+        assertThat(framer.feed(bytes("\n\n"))).isEmpty();
+    }
+
+    @Test
+    void shouldEndAnEventWithAnyLineEndWhereverTheBytesAreSplit() {
+        for (String lineEnd : new String[] {"\n", "\r", "\r\n"}) {
+            byte[] stream = bytes("id: 1" + lineEnd + "data: a" + lineEnd + lineEnd + "id: 2" + lineEnd + lineEnd);
+            for (int split = 0; split <= stream.length; split++) {
+                EventFramer framer = EventFramer.empty();
+                String out = text(framer.feed(Arrays.copyOf(stream, split)))
+                        + text(framer.feed(Arrays.copyOfRange(stream, split, stream.length)));
+                assertThat(out).isEqualTo(text(stream));
+                assertThat(framer.lastEventId()).contains("2");
+                assertThat(framer.isCompleteAtEnd(false)).isTrue();
+            }
+        }
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -1,7 +1,6 @@
 package org.geraniumford.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
@@ -14,14 +13,13 @@
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.transport.forward.ResponseLimits;
 import org.geraniumford.transport.forward.ResponseListener;
 import org.geraniumford.transport.forward.ServerConnection;
 import org.geraniumford.transport.log.LogEvent;
 
 /** One attempt of a request at one backend server. Runs on the gateway's network thread. */
 final class Attempt implements ResponseListener {
-    private static final int MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024;
-
     private final ForwardedRequest request;
     private final ServerState server;
     private final Dispatch dispatch;
@@ -33,7 +31,7 @@
     private ServerConnection connection;
     private ResponseKind kind;
     private HttpResponse head;
-    private final EventFramer observedEvents = EventFramer.empty();
+    private long receivedBytes;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     /** A description of the failure for the log; empty if there is none. */
     private String detail = "";
@@ -213,22 +211,40 @@
         if (ended) {
             return;
         }
+        receivedBytes += chunk.readableBytes();
         if (isStreamResponse()) {
             server.reachability().recordActivity(System.nanoTime());
             if (prefilling) {
                 request.planner().recordSavedSegments(dispatch);
             }
             recordPrefillEnd();
-            observedEvents.feed(ByteBufUtil.getBytes(chunk));
             request.forwardStreamChunk(head, chunk);
-        } else if (body.readableBytes() + chunk.readableBytes() <= MAX_BUFFERED_RESPONSE_BYTES) {
-            body = Unpooled.wrappedBuffer(body, chunk.retainedSlice());
+            checkStreamLimits();
+        } else if (receivedBytes <= ResponseLimits.MAX_BUFFERED_BYTES) {
+            buffer(chunk);
         } else {
             connection.abort();
-            failed("the answer is too large");
+            failed("the answer exceeds " + ResponseLimits.MAX_BUFFERED_BYTES + " bytes");
+        }
+    }
+
+    private void checkStreamLimits() {
+        if (request.hasOversizedEvent()) {
+            connection.abort();
+            failed("an event exceeds " + EventFramer.MAX_EVENT_BYTES + " bytes");
+        } else if (receivedBytes > ResponseLimits.MAX_STREAM_BYTES) {
+            connection.abort();
+            failed("the stream exceeds " + ResponseLimits.MAX_STREAM_BYTES + " bytes");
         }
     }
 
+    private void buffer(ByteBuf chunk) {
+        if (body.maxCapacity() == 0) {
+            body = Unpooled.buffer(chunk.readableBytes(), ResponseLimits.MAX_BUFFERED_BYTES);
+        }
+        body.writeBytes(chunk, chunk.readerIndex(), chunk.readableBytes());
+    }
+
     private boolean isStreamResponse() {
         return kind == ResponseKind.FORWARDABLE
                 && request.isStreaming()
@@ -276,11 +292,11 @@
     }
 
     private void complete() {
-        if (isStreamResponse() && request.isWithinEvent()) {
-            failed("the stream ends within an event");
+        logResponseEnd();
+        if (isStreamResponse() && !request.isStreamCompleteAtEnd(isEndMarked())) {
+            failed("the stream ends early");
             return;
         }
-        logResponseEnd();
         markEnded();
         server.recordSuccess();
         if (isStreamResponse()) {
@@ -296,16 +312,14 @@
                 .with("request", request.admitted().request().id())
                 .with("server", server.server().id())
                 .with("status", head.status().code())
-                .with("ended_by", endMark())
-                .with("within_event", isStreamResponse() && observedEvents.hasPartialEvent())
+                .with("ended_by", isEndMarked() ? "length_or_last_chunk" : "connection")
+                .with("within_event", isStreamResponse() && request.isWithinEvent())
                 .info();
     }
 
-    private String endMark() {
-        if (HttpUtil.isTransferEncodingChunked(head)) {
-            return "last_chunk";
-        }
-        return HttpUtil.isContentLengthSet(head) ? "length" : "connection";
+    /** Returns whether the end of the response is known from a length or a last chunk. */
+    private boolean isEndMarked() {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
     }
 
     @Override
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.geraniumford.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -225,15 +226,13 @@
         return response;
     }
 
+    /**
+     * Forwards the events that a chunk completes. An incomplete event is never forwarded, because the server may break
+     * the stream off within it.
+     */
     void forwardStreamChunk(HttpResponse head, ByteBuf chunk) {
-        // Of a stream that may be resumed, only whole events are forwarded. This also applies after the stream was
-        // resumed at its backup: there is no backup any more then, but an event id was delivered.
-        boolean mayBeResumed = admitted.route().resumable()
-                || backupServer.isPresent()
-                || framer.lastEventId().isPresent();
-        ByteBuf forwardable = mayBeResumed ? completeEvents(chunk) : chunk.retainedSlice();
-        if (!forwardable.isReadable()) {
-            forwardable.release();
+        byte[] events = framer.feed(ByteBufUtil.getBytes(chunk));
+        if (events.length == 0) {
             return;
         }
         if (!machine.responseStarted()) {
@@ -241,23 +240,25 @@
             recordTimes(false);
             exchange.begin(gateway.protocol().forwardHead(head));
         }
-        exchange.writeContent(forwardable);
+        exchange.writeContent(Unpooled.wrappedBuffer(events));
         if (!exchange.isWritable() && attempt != null) {
             attempt.setReading(false);
         }
     }
 
-    /** Returns the events that the chunk completes; may be empty. */
-    private ByteBuf completeEvents(ByteBuf chunk) {
-        byte[] bytes = new byte[chunk.readableBytes()];
-        chunk.getBytes(chunk.readerIndex(), bytes);
-        return Unpooled.wrappedBuffer(framer.feed(bytes));
-    }
-
     boolean isWithinEvent() {
         return framer.hasPartialEvent();
     }
 
+    boolean hasOversizedEvent() {
+        return framer.isOversized();
+    }
+
+    /** Returns whether the stream of the current attempt is complete if it ends now. */
+    boolean isStreamCompleteAtEnd(boolean endMarked) {
+        return framer.isCompleteAtEnd(endMarked);
+    }
+
     void completeStream(HttpResponse head) {
         finish("streamed");
         recordTimes(true);
