--- a/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
@@ -31,7 +31,6 @@
  */
 public final class ConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
-    private static final int MAX_RESPONSE_HEADER_BYTES = 16 * 1024;
     private static final int TCP_KEEP_ALIVE_IDLE_SECONDS = 1;
     private static final int TCP_KEEP_ALIVE_INTERVAL_SECONDS = 1;
     private static final int TCP_KEEP_ALIVE_PROBES = 2;
@@ -181,8 +180,8 @@
 
         ResponseDecoder(ServerConnection connection) {
             super(new HttpDecoderConfig()
-                    .setMaxHeaderSize(MAX_RESPONSE_HEADER_BYTES)
-                    .setMaxInitialLineLength(MAX_RESPONSE_HEADER_BYTES));
+                    .setMaxHeaderSize(ResponseLimits.MAX_HEAD_BYTES)
+                    .setMaxInitialLineLength(ResponseLimits.MAX_HEAD_BYTES));
             this.connection = connection;
         }
 
--- a/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
@@ -23,8 +23,6 @@
 
 /** Sends the router's own HTTP calls over pooled connections. Used on its network thread only. */
 public final class PooledHttpClient {
-    private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-
     private final EventLoop loop;
     private final ConnectionPool pool;
 
@@ -132,7 +130,7 @@
 
         @Override
         public void content(ByteBuf chunk) {
-            if (body.size() + chunk.readableBytes() > MAX_RESPONSE_BYTES) {
+            if (body.size() + chunk.readableBytes() > ResponseLimits.MAX_OWN_CALL_BYTES) {
                 connection.abort();
                 fail(new IOException("the answer is too large"));
                 return;
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -33,6 +34,11 @@
 
     private boolean headRequest;
 
+    /** How many responses were ignored since the request was sent. */
+    private int ignoredResponses;
+
+    private long skippedBytes;
+
     /** Whether the response that is being read is discarded because it belongs to an earlier request. */
     private boolean skipping;
 
@@ -86,6 +92,8 @@
         listener = requireNonNull(responseListener, "responseListener is null");
         headRequest = request.method().equals(HttpMethod.HEAD);
         finished = false;
+        ignoredResponses = 0;
+        skippedBytes = 0;
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
                 failure = "write failed: " + written.cause().getMessage();
@@ -138,12 +146,18 @@
     }
 
     private void readHead(HttpResponse head) {
+        if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail("the server switched protocols");
+            return;
+        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            countIgnoredResponse();
             return;
         }
         if (!listener.accepts(head)) {
             skipping = true;
             reusable = false;
+            countIgnoredResponse();
             return;
         }
         receiving = true;
@@ -152,13 +166,20 @@
         listener.head(head);
     }
 
+    private void countIgnoredResponse() {
+        ignoredResponses++;
+        if (ignoredResponses > ResponseLimits.MAX_IGNORED_RESPONSES) {
+            fail("more than " + ResponseLimits.MAX_IGNORED_RESPONSES + " other answers first");
+        }
+    }
+
     private static boolean hasDefinedLength(HttpResponse head) {
         return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
     }
 
     private void readContent(HttpContent chunk) {
         if (skipping) {
-            skipping = !(chunk instanceof LastHttpContent);
+            skip(chunk);
             return;
         }
         if (chunk.content().isReadable()) {
@@ -173,6 +194,14 @@
         }
     }
 
+    private void skip(HttpContent chunk) {
+        skipping = !(chunk instanceof LastHttpContent);
+        skippedBytes += chunk.content().readableBytes();
+        if (skippedBytes > ResponseLimits.MAX_BUFFERED_BYTES) {
+            fail("an answer to another request exceeds " + ResponseLimits.MAX_BUFFERED_BYTES + " bytes");
+        }
+    }
+
     private void updateKeepAlive(HttpResponse head) {
         String value = head.headers().get("Keep-Alive");
         if (value == null) {
