--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -118,7 +118,7 @@
     }
 
     private void handleConnected(ServerConnection newConnection) {
-        if (ended) {
+        if (ended || !request.exchange().isConnected()) {
             newConnection.abort();
             return;
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -144,6 +144,13 @@
         startAttempt(server, planDispatch(server, Optional.empty()), prefillTokens);
     }
 
+    /** Starts the next attempt, after the round of I/O in which the caller may have left. */
+    private void retry() {
+        if (!finished && exchange.isConnected()) {
+            startNextAttempt();
+        }
+    }
+
     private Dispatch planDispatch(ServerState server, Optional<String> resumeFrom) {
         Optional<String> lastEventId = machine.responseStarted() ? framer.lastEventId() : Optional.empty();
         return planner.planDispatch(server, timeLeft(), lastEventId, backupServer, resumeFrom);
@@ -198,7 +205,7 @@
             case TRY_ELSEWHERE, RESUME_ELSEWHERE -> {
                 gateway.metrics().countRetry(reason);
                 framer.discardPartialEvent();
-                startNextAttempt();
+                gateway.loop().execute(this::retry);
             }
             case CONTINUE_AT_COPY -> {
                 gateway.metrics().countRetry(reason);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -34,6 +34,7 @@
      */
     private static final Duration MAX_TICK_GAP = Duration.ofMillis(400);
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final Duration DEFAULT_CALLER_TIMEOUT = Duration.ofSeconds(60);
 
     private final EventLoop loop;
@@ -113,6 +114,16 @@
         }
     }
 
+    @Override
+    public void callerLeft(CallerExchange exchange) {
+        metrics.countRequest();
+        metrics.countCallerDisconnect();
+        LogEvent.of("caller_left")
+                .with("request", protocol.requestId(exchange.request()))
+                .with("waited_ms", (System.nanoTime() - exchange.headReadNanos()) / NANOS_PER_MILLI)
+                .info();
+    }
+
     /**
      * Refuses every further request. Called shortly before the process ends, so that callers can retry at another entry
      * at once.
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
@@ -16,6 +16,14 @@
      */
     DecodeResult decode(FullHttpRequest request);
 
+    /**
+     * Returns the id of a request for the log.
+     *
+     * @param request the request, which may be malformed
+     * @return the id; empty if the request has none
+     */
+    String requestId(FullHttpRequest request);
+
     /**
      * Encodes the request to a backend server.
      *
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.geraniumford.core.service.CallerLimits;
+import org.geraniumford.transport.log.LogEvent;
 
 /**
  * One connection of a caller. Aggregates requests within the limits and passes them to the handler one at a time, in
@@ -163,13 +164,20 @@
             return;
         }
         if (chunk.content().isReadable()) {
-            body = Unpooled.wrappedBuffer(body, chunk.content().retain());
+            buffer(chunk.content());
         }
         if (chunk instanceof LastHttpContent) {
             complete();
         }
     }
 
+    private void buffer(ByteBuf content) {
+        if (body.maxCapacity() == 0) {
+            body = Unpooled.buffer(content.readableBytes());
+        }
+        body.writeBytes(content, content.readerIndex(), content.readableBytes());
+    }
+
     private void complete() {
         FullHttpRequest request = new DefaultFullHttpRequest(
                 head.protocolVersion(),
@@ -178,11 +186,26 @@
                 body,
                 head.headers(),
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-        current = new CallerExchange(context.channel(), request, headReadNanos, this);
+        CallerExchange exchange = new CallerExchange(context.channel(), request, headReadNanos, this);
+        current = exchange;
         head = null;
         body = null;
         stopReadTimer();
-        handler.handle(current);
+        server.execute(() -> handle(exchange));
+    }
+
+    private void handle(CallerExchange exchange) {
+        if (exchange != current || !exchange.isConnected()) {
+            handler.callerLeft(exchange);
+            exchange.release();
+            return;
+        }
+        try {
+            handler.handle(exchange);
+        } catch (RuntimeException e) {
+            LogEvent.of("request_failed").error(e);
+            context.close();
+        }
     }
 
     private void refuseMalformed(Throwable cause) {
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
@@ -54,6 +54,15 @@
         return headReadNanos;
     }
 
+    /**
+     * Returns whether the caller is connected. This changes before the listener for disconnecting is called.
+     *
+     * @return false once the end of the caller's connection has been read
+     */
+    public boolean isConnected() {
+        return channel.isActive();
+    }
+
     /**
      * Returns whether the caller reads as fast as the response is written.
      *
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerHandler.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerHandler.java
@@ -9,4 +9,11 @@
      * @param exchange the request and the means to respond to it
      */
     void handle(CallerExchange exchange);
+
+    /**
+     * Called instead of {@link #handle} if the caller disconnected before its request was handled.
+     *
+     * @param exchange the request; released after the call
+     */
+    default void callerLeft(CallerExchange exchange) {}
 }
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerServer.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerServer.java
@@ -3,11 +3,13 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -19,6 +21,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
 import org.geraniumford.core.service.CallerLimits;
@@ -26,15 +29,21 @@
 /** The HTTP/1.1 server for callers. All its connections run on one network thread. */
 public final class CallerServer implements AutoCloseable {
     private static final int BACKLOG_CONNECTIONS = 1024;
+
+    /** The number of reads of one connection in a round of I/O. */
+    private static final int MAX_READS_PER_ROUND = 16;
+
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final IntConsumer refusalListener;
+    private final Executor executor;
     private Channel channel;
     private boolean closing;
 
-    private CallerServer(IntConsumer refusalListener) {
+    private CallerServer(IntConsumer refusalListener, Executor executor) {
         this.refusalListener = refusalListener;
+        this.executor = executor;
     }
 
     // -- construction
@@ -55,9 +64,32 @@
             Supplier<CallerLimits> limits,
             CallerHandler handler,
             IntConsumer refusalListener) {
+        return start(group, address, limits, handler, refusalListener, Runnable::run);
+    }
+
+    /**
+     * Starts a server whose requests are handled by an executor.
+     *
+     * @param group the event loop group, which must have exactly one network thread
+     * @param address the address to listen on; port 0 selects a free port
+     * @param limits supplies the current limits for callers
+     * @param handler handles the requests
+     * @param refusalListener receives the HTTP status of each response to a request that is malformed or too large
+     * @param executor calls the handler, on the network thread
+     * @return the listening server, or the failure to bind
+     */
+    public static CompletableFuture<CallerServer> start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<CallerLimits> limits,
+            CallerHandler handler,
+            IntConsumer refusalListener,
+            Executor executor) {
         requireNonNull(limits, "limits is null");
         requireNonNull(handler, "handler is null");
-        CallerServer server = new CallerServer(requireNonNull(refusalListener, "refusalListener is null"));
+        CallerServer server = new CallerServer(
+                requireNonNull(refusalListener, "refusalListener is null"),
+                requireNonNull(executor, "executor is null"));
         ChannelFuture binding = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -66,6 +98,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readingToTheEnd())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel accepted) {
@@ -85,6 +118,11 @@
         return completion;
     }
 
+    /** Reads until nothing is left, so that the end of a connection is seen together with the request before it. */
+    private static RecvByteBufAllocator readingToTheEnd() {
+        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ROUND);
+    }
+
     private void accept(SocketChannel accepted, Supplier<CallerLimits> limits, CallerHandler handler) {
         CallerConnection connection = new CallerConnection(limits, handler, this);
         connections.add(connection);
@@ -139,6 +177,10 @@
         channel.close();
     }
 
+    void execute(Runnable action) {
+        executor.execute(action);
+    }
+
     void closed(CallerConnection connection) {
         connections.remove(connection);
     }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
@@ -124,13 +124,14 @@
         InetSocketAddress target =
                 new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
         ChannelFuture connecting = bootstrap(loop).handler(initializer(address)).connect(target);
-        connecting.addListener(done -> {
+        // The listeners run after the current round of I/O: whoever has lost interest meanwhile is known then.
+        connecting.addListener(done -> loop.execute(() -> {
             if (done.isSuccess()) {
                 connectedListener.accept(connecting.channel().pipeline().get(ServerConnection.class));
             } else {
                 failureListener.accept(done.cause());
             }
-        });
+        }));
     }
 
     /** Creates a bootstrap whose connections fail soon if the other end is unreachable or stops responding. */
