--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.geraniumford.core.configuration.Sha256;
 import org.geraniumford.core.fleet.CacheGossip;
@@ -20,6 +21,7 @@
 import org.geraniumford.core.wire.Role;
 import org.geraniumford.daemon.gateway.GatewayState;
 import org.geraniumford.daemon.weights.RolloutController;
+import org.geraniumford.transport.link.EncodedMessage;
 import org.geraniumford.transport.link.Link;
 import org.geraniumford.transport.link.LinkHandler;
 import org.geraniumford.transport.link.LinkIdentity;
@@ -80,6 +82,7 @@
             ConfigurationRelay configuration,
             RolloutController rollout,
             EventLoop loop,
+            Executor delivery,
             InetSocketAddress ownAddress) {
         this.rollout = rollout;
         this.host = host;
@@ -89,7 +92,7 @@
         this.loop = loop;
         Message.Hello hello = new Message.Hello(host, Role.ENTRY, state.failureDomain(), "");
         long incarnation = System.currentTimeMillis() * MICROS_PER_MILLI;
-        this.network = LinkNetwork.of(loop, new LinkIdentity(hello, incarnation, configuration::version));
+        this.network = LinkNetwork.of(loop, new LinkIdentity(hello, incarnation, configuration::version), delivery);
     }
 
     // -- construction
@@ -102,6 +105,7 @@
      * @param configuration the configuration in force
      * @param rollout the controller that announces and receives the weights lease
      * @param loop the network thread
+     * @param delivery delivers peers' messages, on the network thread and in order
      * @param ownAddress the address at which this entry listens for peers
      * @return an exchange without peers
      */
@@ -111,6 +115,7 @@
             ConfigurationRelay configuration,
             RolloutController rollout,
             EventLoop loop,
+            Executor delivery,
             InetSocketAddress ownAddress) {
         return new GossipExchange(
                 requireNonNull(host, "host is null"),
@@ -118,6 +123,7 @@
                 requireNonNull(configuration, "configuration is null"),
                 requireNonNull(rollout, "rollout is null"),
                 requireNonNull(loop, "loop is null"),
+                requireNonNull(delivery, "delivery is null"),
                 requireNonNull(ownAddress, "ownAddress is null"));
     }
 
@@ -174,8 +180,8 @@
         gossipScheduled = false;
         announced = true;
         LeaseSnapshot lease = rollout.leaseGossip();
-        Message.Gossip gossipWithLease = gossip(lease);
-        Message.Gossip gossipWithoutLease = gossip(LeaseSnapshot.empty());
+        EncodedMessage gossipWithLease = EncodedMessage.of(gossip(lease));
+        EncodedMessage gossipWithoutLease = EncodedMessage.of(gossip(LeaseSnapshot.empty()));
         state.cacheStores().savedSegments().markAnnounced();
         state.directory().markAnnounced();
         oneLinkPerPeer()
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -33,7 +33,7 @@
     private final GossipExchange exchange = exchange(channel.eventLoop());
 
     private GossipExchange exchange(EventLoop loop) {
-        return GossipExchange.of("host", state, new NoConfiguration(), rollout(), loop, OWN_ADDRESS);
+        return GossipExchange.of("host", state, new NoConfiguration(), rollout(), loop, Runnable::run, OWN_ADDRESS);
     }
 
     private RolloutController rollout() {
--- a/transport/src/main/java/org/geraniumford/transport/link/FrameCodec.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/FrameCodec.java
@@ -34,15 +34,33 @@
      * @throws BrokenFrameException if the frame would exceed {@link #MAX_FRAME_BYTES}
      */
     public static byte[] encode(Envelope envelope) throws BrokenFrameException {
-        MessageType type = MessageType.of(envelope.message());
+        return encode(
+                envelope.incarnation(),
+                envelope.sequence(),
+                envelope.configurationVersion(),
+                EncodedMessage.of(envelope.message()));
+    }
+
+    /**
+     * Encodes an envelope around a message that is encoded already.
+     *
+     * @param incarnation the sender's incarnation
+     * @param sequence the number of the message on its link
+     * @param configurationVersion the sender's configuration version
+     * @param message the message
+     * @return the frame's contents
+     * @throws BrokenFrameException if the frame would exceed {@link #MAX_FRAME_BYTES}
+     */
+    static byte[] encode(long incarnation, long sequence, long configurationVersion, EncodedMessage message)
+            throws BrokenFrameException {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(HEADER_FIELD_COUNT + 1);
             packer.packInt(PROTOCOL_VERSION);
-            packer.packInt(type.code());
-            packer.packLong(envelope.incarnation());
-            packer.packLong(envelope.sequence());
-            packer.packLong(envelope.configurationVersion());
-            type.codec().write(packer, envelope.message());
+            packer.packInt(message.type().code());
+            packer.packLong(incarnation);
+            packer.packLong(sequence);
+            packer.packLong(configurationVersion);
+            packer.writePayload(message.fields());
             byte[] frame = packer.toByteArray();
             if (frame.length > MAX_FRAME_BYTES) {
                 throw new BrokenFrameException("a frame of " + frame.length + " bytes is too long", null);
--- a/transport/src/main/java/org/geraniumford/transport/link/Link.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/Link.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
+import org.geraniumford.transport.log.LogEvent;
 
 /** An open connection to another process of the router. Thread-safe. */
 public final class Link implements AutoCloseable {
@@ -29,11 +30,7 @@
      * @return false if the connection has ended or the peer reads too slowly; the message was then not written
      */
     public boolean send(Message message) {
-        if (!channel.isActive() || channel.unsafe().outboundBuffer() == null) {
-            return false;
-        }
-        if (unsentBytes() > MAX_UNSENT_BYTES) {
-            close();
+        if (!isWritable()) {
             return false;
         }
         channel.writeAndFlush(new Envelope(
@@ -44,6 +41,40 @@
         return true;
     }
 
+    /**
+     * Sends a message that is encoded already, as {@link #send(Message)} does.
+     *
+     * @param message the message
+     * @return false if the connection has ended, the peer reads too slowly, or the message is too long
+     */
+    public boolean send(EncodedMessage message) {
+        if (!isWritable()) {
+            return false;
+        }
+        try {
+            channel.writeAndFlush(FrameCodec.encode(
+                    identity.incarnation(),
+                    sequence.incrementAndGet(),
+                    identity.configurationVersion().getAsLong(),
+                    message));
+            return true;
+        } catch (BrokenFrameException e) {
+            LogEvent.of("message_too_long").with("peer", this).error(e);
+            return false;
+        }
+    }
+
+    private boolean isWritable() {
+        if (!channel.isActive() || channel.unsafe().outboundBuffer() == null) {
+            return false;
+        }
+        if (unsentBytes() > MAX_UNSENT_BYTES) {
+            close();
+            return false;
+        }
+        return true;
+    }
+
     /** Closes the connection. */
     @Override
     public void close() {
--- a/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
@@ -21,6 +21,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.LongAdder;
 
 /** Opens and accepts the links of one process. */
@@ -32,12 +33,14 @@
     private final EventLoopGroup group;
     private final LinkIdentity identity;
     private final Optional<LinkTls> tls;
+    private final Executor delivery;
     private final LongAdder sentBytes = new LongAdder();
 
-    private LinkNetwork(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls) {
+    private LinkNetwork(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls, Executor delivery) {
         this.group = group;
         this.identity = identity;
         this.tls = tls;
+        this.delivery = delivery;
     }
 
     // -- construction
@@ -53,6 +56,24 @@
         return of(group, identity, Optional.empty());
     }
 
+    /**
+     * Creates a network of connections without TLS whose messages are delivered by an executor.
+     *
+     * @param group the network threads; shut down by their owner
+     * @param identity the identity that the process presents to its peers
+     * @param delivery decodes and delivers the messages, on the network thread of their link and in order; a link is
+     *     not read on while {@value LinkChannelHandler#MAX_UNDELIVERED_FRAMES} of its messages wait, and those that
+     *     wait when it ends are dropped
+     * @return a network without links
+     */
+    public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity, Executor delivery) {
+        return new LinkNetwork(
+                requireNonNull(group, "group is null"),
+                requireNonNull(identity, "identity is null"),
+                Optional.empty(),
+                requireNonNull(delivery, "delivery is null"));
+    }
+
     /**
      * Creates a network.
      *
@@ -64,7 +85,7 @@
     public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls) {
         requireNonNull(group, "group is null");
         requireNonNull(identity, "identity is null");
-        return new LinkNetwork(group, identity, requireNonNull(tls, "tls is null"));
+        return new LinkNetwork(group, identity, requireNonNull(tls, "tls is null"), Runnable::run);
     }
 
     // -- commands
@@ -127,7 +148,7 @@
                 pipeline.addLast(new LengthFieldBasedFrameDecoder(
                         FrameCodec.MAX_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
                 pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-                pipeline.addLast(new LinkChannelHandler(identity, handler, sentBytes));
+                pipeline.addLast(new LinkChannelHandler(identity, handler, sentBytes, delivery));
             }
         };
     }
