--- a/core/src/main/java/org/geraniumford/core/stream/EventFramer.java
+++ b/core/src/main/java/org/geraniumford/core/stream/EventFramer.java
@@ -9,7 +9,7 @@
  * An event ends with an empty line; lines end with CR, LF or CR LF. Reads each byte once. Not thread-safe.
  */
 public final class EventFramer {
-    /** The maximum size of one event in bytes, so that an event without an end does not fill the memory. */
+    /** The default maximum size of one event in bytes: an event without an end must not fill the memory. */
     public static final int MAX_EVENT_BYTES = 64 * 1024;
 
     private static final int INITIAL_CAPACITY_BYTES = 256;
@@ -37,17 +37,31 @@
 
     private Optional<String> lastEventId = Optional.empty();
 
-    private EventFramer() {}
+    private final int maxEventBytes;
+
+    private EventFramer(int maxEventBytes) {
+        this.maxEventBytes = maxEventBytes;
+    }
 
     // -- construction
 
     /**
-     * Creates a framer at the start of a stream.
+     * Creates a framer at the start of a stream whose events have at most {@link #MAX_EVENT_BYTES}.
      *
      * @return a new framer
      */
     public static EventFramer empty() {
-        return new EventFramer();
+        return new EventFramer(MAX_EVENT_BYTES);
+    }
+
+    /**
+     * Creates a framer at the start of a stream.
+     *
+     * @param maxEventBytes the maximum size of one event in bytes, at least 1
+     * @return a new framer
+     */
+    public static EventFramer ofLimit(int maxEventBytes) {
+        return new EventFramer(maxEventBytes);
     }
 
     // -- queries
@@ -71,7 +85,7 @@
     }
 
     /**
-     * Returns whether an event exceeds {@link #MAX_EVENT_BYTES}. The stream cannot be read on then.
+     * Returns whether an event exceeds the maximum size. The stream cannot be read on then.
      *
      * @return true once an event is too large
      */
@@ -107,7 +121,7 @@
         int end = endOfLastEvent(scanStart);
         byte[] complete = end == 0 ? EMPTY : Arrays.copyOf(pending, end);
         discardFirst(end);
-        oversized = pendingLength > MAX_EVENT_BYTES;
+        oversized = pendingLength > maxEventBytes;
         return complete;
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/command/OperatorClient.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/OperatorClient.java
@@ -11,6 +11,7 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Response;
 import org.geraniumford.daemon.operator.ProcessStatus;
+import org.geraniumford.transport.engine.BoundedResponseHandler;
 
 /**
  * Sends requests to the operator ports of processes. A request fails with a {@link CommandException} if there is no
@@ -71,7 +72,9 @@
     private Response sendRequest(String method, InetSocketAddress address, String path) throws CommandException {
         String url = "http://" + formatAddress(address) + path;
         try {
-            Response response = http.prepare(method, url).execute().get(TIMEOUT.toMillis() * 2, TimeUnit.MILLISECONDS);
+            Response response = http.prepare(method, url)
+                    .execute(new BoundedResponseHandler())
+                    .get(TIMEOUT.toMillis() * 2, TimeUnit.MILLISECONDS);
             if (response.getStatusCode() >= 500) {
                 throw CommandException.failed(formatAddress(address) + ": status " + response.getStatusCode());
             }
--- a/daemon/src/main/java/org/geraniumford/daemon/load/ResponseReader.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/ResponseReader.java
@@ -10,6 +10,7 @@
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
+import org.geraniumford.core.stream.EventFramer;
 
 /** Reads a streamed response and records the time of its first token. */
 final class ResponseReader implements AsyncHandler<Outcome> {
@@ -17,10 +18,12 @@
     private static final String DATA = "data: ";
     private static final String DONE = "[DONE]";
     private static final int OK = 200;
+    private static final int MAX_ERROR_BYTES = 64 * 1024;
 
     private final int customer;
     private final LongSupplier elapsedMicros;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final EventFramer events = EventFramer.empty();
+    private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private int status;
     private long firstTokenMicros = -1;
     private boolean done;
@@ -56,14 +59,12 @@
 
     @Override
     public State onBodyPartReceived(HttpResponseBodyPart bodyPart) {
-        for (byte octet : bodyPart.getBodyPartBytes()) {
-            if (octet == '\n') {
-                readLine();
-            } else {
-                line.write(octet);
-            }
+        if (status == OK) {
+            readLines(events.feed(bodyPart.getBodyPartBytes()));
+            return events.isOversized() ? State.ABORT : State.CONTINUE;
         }
-        return State.CONTINUE;
+        errorBody.writeBytes(bodyPart.getBodyPartBytes());
+        return errorBody.size() <= MAX_ERROR_BYTES ? State.CONTINUE : State.ABORT;
     }
 
     @Override
@@ -73,7 +74,7 @@
 
     @Override
     public Outcome onCompleted() {
-        readLine();
+        readLines(errorBody.toByteArray());
         return outcome();
     }
 
@@ -96,10 +97,13 @@
 
     // -- events and summary
 
+    /** Reads whole events or the JSON body of a refusal. */
+    private void readLines(byte[] bytes) {
+        new String(bytes, StandardCharsets.UTF_8).lines().map(String::trim).forEach(this::readLine);
+    }
+
     /** Reads one line: an event or the end marker of the stream, or the JSON body of a refusal. */
-    private void readLine() {
-        String text = line.toString(StandardCharsets.UTF_8).trim();
-        line.reset();
+    private void readLine(String text) {
         if (text.equals(DATA + DONE)) {
             done = true;
         } else if (text.startsWith(DATA)) {
--- a/transport/src/main/java/org/geraniumford/transport/engine/CompletionHandler.java
+++ b/transport/src/main/java/org/geraniumford/transport/engine/CompletionHandler.java
@@ -121,7 +121,7 @@
         byte[] bytes = part.getBodyPartBytes();
         if (status != OK) {
             errorBody.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - errorBody.size()));
-            return State.CONTINUE;
+            return errorBody.size() < MAX_ERROR_BYTES ? State.CONTINUE : State.ABORT;
         }
         List<CompletionEvent> events =
                 decoder.decode(bytes).stream().map(EngineJson::completionEvent).toList();
--- a/transport/src/main/java/org/geraniumford/transport/engine/EngineClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/engine/EngineClient.java
@@ -69,7 +69,8 @@
     @Override
     public void cancel(String requestId) {
         String id = URLEncoder.encode(requestId, StandardCharsets.UTF_8);
-        http.executeRequest(new RequestBuilder("DELETE").setUrl(baseUrl + "/v1/requests/" + id));
+        http.executeRequest(
+                new RequestBuilder("DELETE").setUrl(baseUrl + "/v1/requests/" + id), new BoundedResponseHandler());
     }
 
     @Override
@@ -103,16 +104,18 @@
 
     private <T> CompletableFuture<T> execute(
             RequestBuilder request, Verdict verdictIfFailed, Function<String, T> parser) {
-        return http.executeRequest(request).toCompletableFuture().handle((response, failure) -> {
-            if (failure != null) {
-                throw Refusal.of(
-                                Reason.CONNECTION_LOST,
-                                verdictIfFailed,
-                                "engine: " + failure.getClass().getSimpleName())
-                        .toException();
-            }
-            return read(response, verdictIfFailed, parser);
-        });
+        return http.executeRequest(request, new BoundedResponseHandler())
+                .toCompletableFuture()
+                .handle((response, failure) -> {
+                    if (failure != null) {
+                        throw Refusal.of(
+                                        Reason.CONNECTION_LOST,
+                                        verdictIfFailed,
+                                        "engine: " + failure.getClass().getSimpleName())
+                                .toException();
+                    }
+                    return read(response, verdictIfFailed, parser);
+                });
     }
 
     private static <T> T read(Response response, Verdict verdictIfFailed, Function<String, T> parser) {
--- a/transport/src/main/java/org/geraniumford/transport/engine/ServerSentEventDecoder.java
+++ b/transport/src/main/java/org/geraniumford/transport/engine/ServerSentEventDecoder.java
@@ -1,9 +1,9 @@
 package org.geraniumford.transport.engine;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.geraniumford.core.stream.EventFramer;
 
 /**
  * Splits a stream of server-sent events into the data of its events. The bytes may arrive in chunks of any size. The
@@ -13,11 +13,11 @@
     private static final String DATA_FIELD = "data:";
 
     private final int maxEventBytes;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-    private final StringBuilder data = new StringBuilder();
+    private final EventFramer framer;
 
     private ServerSentEventDecoder(int maxEventBytes) {
         this.maxEventBytes = maxEventBytes;
+        this.framer = EventFramer.ofLimit(maxEventBytes);
     }
 
     // -- construction
@@ -37,31 +37,18 @@
      */
     List<String> decode(byte[] bytes) {
         List<String> events = new ArrayList<>();
-        for (byte next : bytes) {
-            if (next == '\n') {
-                endLine(events);
-            } else if (next != '\r') {
-                append(next);
+        StringBuilder data = new StringBuilder();
+        for (String line : new String(framer.feed(bytes), StandardCharsets.UTF_8).split("\r\n|\r|\n", -1)) {
+            if (line.startsWith(DATA_FIELD)) {
+                data.append(line.substring(DATA_FIELD.length()).strip());
+            } else if (line.isEmpty() && data.length() > 0) {
+                events.add(data.toString());
+                data.setLength(0);
             }
         }
-        return events;
-    }
-
-    private void append(byte next) {
-        if (line.size() + data.length() >= maxEventBytes) {
+        if (framer.isOversized()) {
             throw new IllegalArgumentException("an event exceeds " + maxEventBytes + " bytes");
         }
-        line.write(next);
-    }
-
-    private void endLine(List<String> events) {
-        String text = line.toString(StandardCharsets.UTF_8);
-        line.reset();
-        if (text.startsWith(DATA_FIELD)) {
-            data.append(text.substring(DATA_FIELD.length()).strip());
-        } else if (text.isEmpty() && data.length() > 0) {
-            events.add(data.toString());
-            data.setLength(0);
-        }
+        return events;
     }
 }
--- a/transport/src/main/java/org/geraniumford/transport/engine/ServiceClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/engine/ServiceClient.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.asynchttpclient.AsyncCompletionHandlerBase;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
@@ -90,7 +89,7 @@
     }
 
     /** Records whether the request was written, which decides the verdict of a failure. */
-    private static final class CallHandler extends AsyncCompletionHandlerBase {
+    private static final class CallHandler extends BoundedResponseHandler {
         private volatile boolean written;
 
         @Override
--- a/transport/src/main/java/org/geraniumford/transport/platform/PlatformClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/platform/PlatformClient.java
@@ -22,6 +22,7 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
+import org.geraniumford.transport.engine.BoundedResponseHandler;
 
 /**
  * A client of the platform's HTTP interface. Futures complete on a network thread, which must not block. Thread-safe.
@@ -166,12 +167,14 @@
                 .setReadTimeout(timeout);
         body.ifPresent(
                 content -> request.setBody(content).setHeader("Content-Type", "application/json; charset=utf-8"));
-        return client.executeRequest(request.build()).toCompletableFuture().handle((response, failure) -> {
-            if (failure != null) {
-                throw PlatformFailures.toRefusal(failure).toException();
-            }
-            return response;
-        });
+        return client.executeRequest(request.build(), new BoundedResponseHandler())
+                .toCompletableFuture()
+                .handle((response, failure) -> {
+                    if (failure != null) {
+                        throw PlatformFailures.toRefusal(failure).toException();
+                    }
+                    return response;
+                });
     }
 
     // -- responses
--- /dev/null
+++ b/transport/src/test/java/org/geraniumford/transport/engine/RawServer.java
@@ -0,0 +1,92 @@
+package org.geraniumford.transport.engine;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A server that answers each connection with the same bytes, whatever the request, and then closes it. */
+final class RawServer implements AutoCloseable {
+    private static final long MAX_WRITTEN_BYTES = 64L * 1024 * 1024;
+    private static final int REQUEST_BUFFER_BYTES = 64 * 1024;
+
+    private final ServerSocket listener;
+    private final String start;
+    private final Optional<String> repeated;
+    private final CompletableFuture<Long> written = new CompletableFuture<>();
+
+    private RawServer(ServerSocket listener, String start, Optional<String> repeated) {
+        this.listener = listener;
+        this.start = start;
+        this.repeated = repeated;
+    }
+
+    /** Starts a server that writes a text and closes the connection. */
+    static RawServer sending(String text) throws IOException {
+        return start(text, Optional.empty());
+    }
+
+    /** Starts a server that writes a text, and then another one until the caller closes the connection. */
+    static RawServer sendingWithoutEnd(String text, String repeated) throws IOException {
+        return start(text, Optional.of(repeated));
+    }
+
+    private static RawServer start(String text, Optional<String> repeated) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        RawServer server = new RawServer(listener, text, repeated);
+        Thread thread = new Thread(server::serve, "raw-server");
+        thread.setDaemon(true);
+        thread.start();
+        return server;
+    }
+
+    URI uri() {
+        return URI.create("http://127.0.0.1:" + listener.getLocalPort());
+    }
+
+    /** Returns how much was written on the first connection until its caller closed it. */
+    CompletableFuture<Long> written() {
+        return written;
+    }
+
+    static long maxWrittenBytes() {
+        return MAX_WRITTEN_BYTES;
+    }
+
+    private void serve() {
+        while (!listener.isClosed()) {
+            try (Socket socket = listener.accept()) {
+                if (socket.getInputStream().read(new byte[REQUEST_BUFFER_BYTES]) > 0) {
+                    written.complete(respond(socket.getOutputStream()));
+                }
+            } catch (IOException e) {
+                // The listener or the connection is closed.
+            }
+        }
+    }
+
+    private long respond(OutputStream out) throws IOException {
+        out.write(start.getBytes(StandardCharsets.UTF_8));
+        long count = 0;
+        byte[] block = repeated.orElse("").getBytes(StandardCharsets.UTF_8);
+        try {
+            while (block.length > 0 && count < MAX_WRITTEN_BYTES) {
+                out.write(block);
+                count += block.length;
+            }
+        } catch (IOException e) {
+            // The caller closed the connection.
+        }
+        return count;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+    }
+}
