--- a/transport/src/main/java/org/geraniumford/transport/forward/LivenessWatch.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/LivenessWatch.java
@@ -4,8 +4,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -54,9 +56,8 @@
         if (closed) {
             return;
         }
-        ChannelFuture connecting = ConnectionPool.bootstrap(loop)
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(address);
+        ChannelFuture connecting =
+                ConnectionPool.bootstrap(loop).handler(new SilenceHandler()).connect(address);
         connecting.addListener(done -> {
             listener.livenessChecked(done.isSuccess());
             if (done.isSuccess()) {
@@ -76,6 +77,15 @@
         channel.closeFuture().addListener(ended -> scheduleReconnect());
     }
 
+    /** Closes the connection if bytes arrive on it: nothing was asked, and they might not end. */
+    private static final class SilenceHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            ReferenceCountUtil.release(bytes);
+            context.close();
+        }
+    }
+
     private void scheduleReconnect() {
         loop.schedule(this::connect, RECONNECT_DELAY.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/transport/src/test/java/org/geraniumford/transport/forward/CallerServerTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/forward/CallerServerTest.java
@@ -13,7 +13,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -24,6 +27,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class CallerServerTest {
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -123,6 +128,51 @@
         }
     }
 
+    /** Guards against callers whose head or body does not end, however slowly its bytes arrive. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "GET /",
+                "GET / HTTP/1.1\r\nX-Slow: ",
+                "POST / HTTP/1.1\r\nContent-Length: 999\r\n\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Slow: "
+            })
+    void shouldCloseAConnectionWhoseRequestDoesNotEndInTime(String start) throws Exception {
+        CallerLimits limits = new CallerLimits(4096, 4096, Duration.ofMillis(300), Duration.ofMillis(300));
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        CallerServer impatient = CallerServer.start(group, anyPort, () -> limits, new Recorder(), status -> {})
+                .join();
+        try (Socket socket = new Socket()) {
+            socket.connect(impatient.address());
+            socket.getOutputStream().write(start.getBytes(StandardCharsets.US_ASCII));
+            long closedAfterMillis = millisUntilClosed(socket, !start.isEmpty());
+            assertThat(closedAfterMillis).isBetween(200L, 5_000L);
+        }
+        assertThat(handled).isEmpty();
+    }
+
+    /** Writes a byte every 50 ms until the connection is closed, and returns how long that took. */
+    private static long millisUntilClosed(Socket socket, boolean writing) throws IOException {
+        long startNanos = System.nanoTime();
+        socket.setSoTimeout(50);
+        while (System.nanoTime() - startNanos < TimeUnit.SECONDS.toNanos(10)) {
+            try {
+                if (socket.getInputStream().read() < 0) {
+                    break;
+                }
+            } catch (SocketTimeoutException e) {
+                if (writing) {
+                    socket.getOutputStream().write('1');
+                }
+            } catch (SocketException e) {
+                break;
+            }
+        }
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
     /** Guards against a body in many small chunks that is kept as as many nested buffers. */
     @Test
     void shouldReadABodyThatArrivesInManySmallChunks() throws Exception {
--- a/transport/src/test/java/org/geraniumford/transport/forward/LivenessWatchTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/forward/LivenessWatchTest.java
@@ -55,4 +55,20 @@
             assertThat(watch).isNotNull();
         }
     }
+
+    /** Guards against a process that sends bytes without end on a connection on which nothing was asked. */
+    @Test
+    void shouldCloseTheConnectionWhenBytesArriveOnIt() throws Exception {
+        try (ServerSocket listener = listen(0)) {
+            InetSocketAddress address = (InetSocketAddress) listener.getLocalSocketAddress();
+            try (LivenessWatch watch = LivenessWatch.start(group.next(), address, results::add);
+                    Socket accepted = listener.accept()) {
+                assertThat(next()).isTrue();
+                accepted.setSoTimeout(30_000);
+                accepted.getOutputStream().write(1);
+                assertThat(accepted.getInputStream().read()).isEqualTo(-1);
+                assertThat(watch).isNotNull();
+            }
+        }
+    }
 }
--- a/transport/src/test/java/org/geraniumford/transport/link/LinkNetworkTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/LinkNetworkTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -88,6 +89,37 @@
         assertThat(link.send(new Message.Ping(1))).isFalse();
     }
 
+    // -- delivery by an executor
+
+    /** Guards against a peer that sends faster than its messages are handled and fills the memory. */
+    @Test
+    void shouldDeliverAllMessagesInOrderWhenTheirDeliveryWaits() throws Exception {
+        BlockingQueue<Runnable> waiting = new LinkedBlockingQueue<>();
+        Message.Hello hello = new Message.Hello("slow", Role.ENTRY, "kigali-a", "");
+        Recorder slow = new Recorder();
+        EventLoop loop = group.next();
+        try (LinkListener slowListener = LinkNetwork.of(loop, new LinkIdentity(hello, 1, () -> 1), waiting::add)
+                .listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), slow)
+                .join()) {
+            network("entry-1", Role.ENTRY, 8)
+                    .connect(slowListener.address(), client)
+                    .join();
+            Link link = client.links.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            String text = "x".repeat(100_000);
+            LongStream.range(0, 1000)
+                    .forEach(id -> link.send(new Message.ConfigurationResponse(id, 1, "digest", text)));
+            Thread.sleep(300);
+            assertThat(waiting).hasSizeLessThan(2 * LinkChannelHandler.MAX_UNDELIVERED_FRAMES);
+            for (long number = 0; number <= 1000; number++) {
+                Runnable delivery = waiting.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                loop.submit(delivery).sync();
+            }
+            assertThat(slow.received)
+                    .extracting(Envelope::sequence)
+                    .isEqualTo(LongStream.rangeClosed(1, 1001).boxed().toList());
+        }
+    }
+
     // -- support
 
     /** Returns the network of a process whose configuration version equals its incarnation. */
