--- a/daemon/src/main/java/org/geraniumford/daemon/operator/OperatorServer.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/operator/OperatorServer.java
@@ -12,7 +12,8 @@
 /** The HTTP server through which operators read the health, metrics and status of a process, and drain it. */
 public final class OperatorServer implements AutoCloseable {
     /** 64 KiB for a request body, 16 KiB for the header fields, and 64 connections. */
-    private static final HttpLimits LIMITS = new HttpLimits(64 * 1024, 16 * 1024, 64);
+    private static final HttpLimits LIMITS =
+            new HttpLimits(64 * 1024, 16 * 1024, 64, HttpLimits.DEFAULT_REQUEST_TIMEOUT);
 
     private final HttpServer server;
 
--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsLoader.java
@@ -146,7 +146,11 @@
                 values.value(BLOCK_TOKENS),
                 values.value(ROUTING_POLICY),
                 values.value(PREFILL_RATE),
-                new HttpLimits(values.value(MAX_BODY), values.value(MAX_HEADER), values.value(MAX_CONNECTIONS)),
+                new HttpLimits(
+                        values.value(MAX_BODY),
+                        values.value(MAX_HEADER),
+                        values.value(MAX_CONNECTIONS),
+                        HttpLimits.DEFAULT_REQUEST_TIMEOUT),
                 CommonSettings.security(values, folder),
                 values.value(CommonSettings.DRAIN_TIMEOUT));
     }
--- a/transport/src/main/java/org/geraniumford/transport/http/HttpPipeline.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpPipeline.java
@@ -45,7 +45,10 @@
                 .setMaxHeaderSize(limits.maxHeaderBytes()));
         HttpServerUpgradeHandler upgrade =
                 new HttpServerUpgradeHandler(codec, this::upgradeCodec, MAX_UPGRADE_BODY_BYTES);
+        RequestTimeout timeout = new RequestTimeout(limits.requestTimeout());
+        pipeline.addLast(timeout);
         pipeline.addLast(new CleartextHttp2ServerUpgradeHandler(codec, upgrade, priorKnowledgeHandler()));
+        pipeline.addLast(timeout.requestEndHandler());
         pipeline.addLast(new Http1Configurator());
     }
 
@@ -76,9 +79,12 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel stream) {
+                RequestTimeout timeout = new RequestTimeout(limits.requestTimeout());
                 stream.pipeline()
                         .addLast(
                                 new Http2StreamFrameToHttpObjectCodec(true),
+                                timeout,
+                                timeout.requestEndHandler(),
                                 new BodyAggregator(limits.maxBodyBytes()),
                                 new HttpExchangeHandler(service));
             }
--- a/transport/src/test/java/org/geraniumford/transport/http/HttpServerTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/http/HttpServerTest.java
@@ -10,11 +10,14 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,9 +28,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class HttpServerTest {
-    private static final HttpLimits LIMITS = new HttpLimits(1000, 2000, 100);
+    private static final HttpLimits LIMITS = new HttpLimits(1000, 2000, 100, HttpLimits.DEFAULT_REQUEST_TIMEOUT);
     private static final int TIMEOUT_SECONDS = 30;
 
     private final CompletableFuture<Void> callerDisconnected = new CompletableFuture<>();
@@ -127,6 +131,60 @@
         assertStillServing();
     }
 
+    /** Guards against callers whose head or body does not end, however slowly its bytes arrive. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "P",
+                "GET /echo HTTP/1.1\r\nX-Slow: ",
+                "POST /echo HTTP/1.1\r\nContent-Length: 999\r\n\r\n",
+                "POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "GET /echo HTTP/1.1\r\nContent-Length: 0\r\n\r\nGET /echo HTTP/1.1\r\n"
+            })
+    void shouldCloseAConnectionWhoseRequestDoesNotEndInTime(String start) throws Exception {
+        HttpLimits impatient = new HttpLimits(1000, 2000, 100, Duration.ofMillis(300));
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (HttpServer slowCallers = HttpServer.start(group, anyPort, impatient, new EchoService())
+                        .join();
+                Socket socket = new Socket()) {
+            socket.connect(slowCallers.address());
+            send(socket, start);
+            assertThat(isClosedWhileBytesAreSent(socket)).isTrue();
+        }
+    }
+
+    /** Sends a byte every 50 ms, and returns whether the connection is closed within 10 s. */
+    private static boolean isClosedWhileBytesAreSent(Socket socket) throws IOException {
+        socket.setSoTimeout(50);
+        for (int i = 0; i < 200; i++) {
+            try {
+                if (socket.getInputStream().read() < 0) {
+                    return true;
+                }
+            } catch (SocketTimeoutException e) {
+                socket.getOutputStream().write('1');
+            } catch (SocketException e) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Test
+    void shouldKeepAConnectionOpenWhenItsRequestsWereReadInTime() throws Exception {
+        HttpLimits impatient = new HttpLimits(1000, 2000, 100, Duration.ofMillis(100));
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try (HttpServer server = HttpServer.start(group, anyPort, impatient, new EchoService())
+                        .join();
+                Socket socket = new Socket()) {
+            socket.connect(server.address());
+            send(socket, "GET /first HTTP/1.1\r\n\r\n");
+            Thread.sleep(300);
+            send(socket, "GET /second HTTP/1.1\r\nConnection: close\r\n\r\n");
+            assertThat(readAll(socket)).containsSubsequence("GET /first", "GET /second");
+        }
+    }
+
     @Test
     void shouldRespondInOrderWhenRequestsArePipelined() throws IOException {
         try (Socket socket = connect()) {
