--- a/transport/src/main/java/org/geraniumford/transport/link/Link.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/Link.java
@@ -30,7 +30,7 @@
      * @return false if the connection has ended or the peer reads too slowly; the message was then not written
      */
     public boolean send(Message message) {
-        if (!isWritable()) {
+        if (!ensureWritable()) {
             return false;
         }
         channel.writeAndFlush(new Envelope(
@@ -48,7 +48,7 @@
      * @return false if the connection has ended, the peer reads too slowly, or the message is too long
      */
     public boolean send(EncodedMessage message) {
-        if (!isWritable()) {
+        if (!ensureWritable()) {
             return false;
         }
         try {
@@ -64,7 +64,8 @@
         }
     }
 
-    private boolean isWritable() {
+    /** Returns whether a message can be sent. Closes the connection of a peer that reads too slowly. */
+    private boolean ensureWritable() {
         if (!channel.isActive() || channel.unsafe().outboundBuffer() == null) {
             return false;
         }
