VERSION: log and measure on how old weights a request begins

Cause: nothing told on which weights a request began, how old the entry held them to be, and where a published version was read, so the hypotheses of the incident could not be told apart. Change: line began_on_old_weights and timer geraniumford.weights.age at the first output of an engine; weights_named names its source. No decision changes.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -27,6 +27,7 @@
     private final long totalTokens;
 
     private final long prefillTokens;
+    private final AttemptWeights weights;
     private boolean prefilling;
     private ServerConnection connection;
     private ResponseKind kind;
@@ -44,6 +45,7 @@
         this.request = request;
         this.server = server;
         this.dispatch = dispatch;
+        this.weights = AttemptWeights.of(request.gateway(), request.admitted(), dispatch);
         this.totalTokens = request.admitted()
                 .request()
                 .prompt()
@@ -203,7 +205,10 @@
                 .ifPresent(prompt -> request.gateway()
                         .protocol()
                         .weightsVersion(head)
-                        .ifPresent(version -> server.recordWeightsVersion(prompt.model(), version)));
+                        .ifPresent(version -> {
+                            weights.applyResponse(version);
+                            server.recordWeightsVersion(prompt.model(), version);
+                        }));
     }
 
     @Override
@@ -215,6 +220,7 @@
         if (isStreamResponse()) {
             server.reachability().recordActivity(System.nanoTime());
             if (prefilling) {
+                weights.recordBegin(server.server().id(), sentNanos);
                 request.planner().recordSavedSegments(dispatch);
             }
             recordPrefillEnd();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -231,6 +231,14 @@
         return state.oldestAllowedWeights(model, limits.usableWeightsStaleness());
     }
 
+    Duration weightsTimeLeft(String model, int version) {
+        return state.weightsTimeLeft(model, version, limits.maxWeightsStaleness());
+    }
+
+    Duration maxWeightsStaleness() {
+        return limits.maxWeightsStaleness();
+    }
+
     void removeRequest(ForwardedRequest request) {
         activeRequests.remove(request);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
@@ -19,6 +19,7 @@
     private final Counter callerDisconnects;
     private final Timer firstByteTime;
     private final Timer responseTime;
+    private final Timer oldWeightsAge;
 
     private GatewayMetrics(MeterRegistry registry) {
         reasons = ReasonCounters.of(registry);
@@ -26,6 +27,7 @@
         callerDisconnects = registry.counter("geraniumford.callers.left");
         firstByteTime = histogram(registry, "geraniumford.answer.first");
         responseTime = histogram(registry, "geraniumford.answer.whole");
+        oldWeightsAge = histogram(registry, "geraniumford.weights.age");
     }
 
     // -- construction
@@ -91,6 +93,15 @@
         firstByteTime.record(Duration.ofNanos(nanos));
     }
 
+    /**
+     * Records that a request began on weights that are not the newest.
+     *
+     * @param sinceReplaced how long ago the first newer version was published
+     */
+    public void recordOldWeightsAge(Duration sinceReplaced) {
+        oldWeightsAge.record(sinceReplaced);
+    }
+
     /**
      * Records the time to the end of a backend server's response; refusals and aborted streams are not recorded.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -228,8 +228,9 @@
      * Records a published version of a model's weights.
      *
      * @param published the model, the version, its age, and whether its publication was observed
+     * @param source where the version was read, for the log: the store or a peer
      */
-    public void recordPublishedWeights(PublishedWeights published) {
+    public void recordPublishedWeights(PublishedWeights published, String source) {
         WeightsHistory history = weightsHistories.computeIfAbsent(published.model(), model -> WeightsHistory.empty());
         if (published.version() > history.newest()) {
             LogEvent.of("weights_named")
@@ -237,6 +238,7 @@
                     .with("version", published.version())
                     .with("age_ms", published.ageMillis())
                     .with("witnessed", published.publicationObserved())
+                    .with("source", source)
                     .info();
         }
         long nowNanos = System.nanoTime();
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -279,7 +279,7 @@
         state.directory().applyGossip(peer, gossip.loads());
         gossip.leaving().forEach(state.directory()::markLeaving);
         rollout.applyLeaseSnapshot(gossip.lease());
-        gossip.weights().forEach(state::recordPublishedWeights);
+        gossip.weights().forEach(weights -> state.recordPublishedWeights(weights, peer));
         state.cacheStores().savedSegments().applyGossip(gossip.cache().savedKeys(), System.nanoTime());
         state.directory().applyGossip(gossip.cache().prefilled());
     }
