--- a/core/src/main/java/org/geraniumford/core/forward/AttemptFailure.java
+++ b/core/src/main/java/org/geraniumford/core/forward/AttemptFailure.java
@@ -24,7 +24,10 @@
 
     // -- variants
 
-    /** Nothing was sent, because no connection could be opened or because the deadline had passed once one was open. */
+    /**
+     * Nothing was sent, because no connection could be opened, or because the deadline had passed or the server's
+     * weights had become too old once one was open.
+     */
     record Unreachable() implements AttemptFailure {
         @Override
         public Verdict verdict() {
@@ -66,6 +69,22 @@
         }
     }
 
+    /**
+     * The router closed the connection because the request had not begun in time. The server was not at fault; it may
+     * have begun meanwhile.
+     */
+    record Withdrawn() implements AttemptFailure {
+        @Override
+        public Verdict verdict() {
+            return Verdict.MAY_HAVE_RUN;
+        }
+
+        @Override
+        public boolean requestSent() {
+            return true;
+        }
+    }
+
     /** The server ran the request and sent an error response. */
     record ErrorAnswer() implements AttemptFailure {
         @Override
--- a/core/src/test/java/org/geraniumford/core/forward/ForwardMachineTest.java
+++ b/core/src/test/java/org/geraniumford/core/forward/ForwardMachineTest.java
@@ -17,6 +17,7 @@
     private static final AttemptFailure BROKEN = new AttemptFailure.Broken();
     private static final AttemptFailure ERROR = new AttemptFailure.ErrorAnswer();
     private static final AttemptFailure REJECTED = new AttemptFailure.TurnedAway();
+    private static final AttemptFailure WITHDRAWN = new AttemptFailure.Withdrawn();
     private static final AttemptFailure UNREACHABLE = new AttemptFailure.Unreachable();
 
     private static ForwardMachine machine(RouteKind kind, boolean resumable, int maxAttempts) {
@@ -58,6 +59,18 @@
         assertThat(endAttempt(machine, BROKEN)).isEqualTo(NextStep.FAIL);
     }
 
+    /** Guards against a refusal as not run of a request that was withdrawn from an engine and may have begun. */
+    @Test
+    void shouldTreatAWithdrawnRequestAsOneThatMayHaveRun() {
+        assertThat(endAttempt(machine(RouteKind.STREAMING, false, 3), WITHDRAWN))
+                .isEqualTo(NextStep.FAIL);
+        assertThat(endAttempt(machine(RouteKind.STREAMING, true, 2), WITHDRAWN)).isEqualTo(NextStep.TRY_ELSEWHERE);
+        ForwardMachine backedUp = machine(RouteKind.STREAMING, false, 1);
+        backedUp.markBackupAvailable();
+        backedUp.markResponseStarted();
+        assertThat(endAttempt(backedUp, WITHDRAWN)).isEqualTo(NextStep.CUT_OFF);
+    }
+
     @Test
     void shouldForwardTheServersErrorWhenNoAttemptIsLeft() {
         ForwardMachine machine = machine(RouteKind.SAFE, false, 2);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -131,6 +131,12 @@
             endWithFailure(new AttemptFailure.Unreachable(), Reason.DEADLINE_PASSED);
             return;
         }
+        if (!weights.maySend()) {
+            newConnection.abort();
+            detail = "the weights became too old before it was sent";
+            endWithFailure(new AttemptFailure.Unreachable(), Reason.WRONG_WEIGHTS);
+            return;
+        }
         connection = newConnection;
         sentNanos = System.nanoTime();
         newConnection.send(request.gateway().encode(request.exchange(), dispatch.withTimeLeft(timeLeft)), this);
@@ -144,6 +150,15 @@
         failed("silent");
     }
 
+    /** Ends this attempt if the request has not begun and may no longer begin on the engine's weights. */
+    void withdrawIfOutdated() {
+        if (isSent() && !ended && prefilling && !weights.mayBegin()) {
+            connection.abort();
+            detail = "not begun before the weights became too old";
+            endWithFailure(new AttemptFailure.Withdrawn(), Reason.WRONG_WEIGHTS);
+        }
+    }
+
     private void handleConnectFailure(Throwable cause) {
         if (ended) {
             return;
@@ -219,14 +234,11 @@
         receivedBytes += chunk.readableBytes();
         if (isStreamResponse()) {
             server.reachability().recordActivity(System.nanoTime());
-            if (prefilling) {
-                weights.recordBegin(server.server().id(), sentNanos);
-                request.planner().recordSavedSegments(dispatch);
-            }
-            recordPrefillEnd();
+            recordBegin();
             request.forwardStreamChunk(head, chunk);
             checkStreamLimits();
         } else if (receivedBytes <= ResponseLimits.MAX_BUFFERED_BYTES) {
+            recordPrefillEnd();
             buffer(chunk);
         } else {
             connection.abort();
@@ -234,6 +246,14 @@
         }
     }
 
+    private void recordBegin() {
+        if (prefilling) {
+            weights.recordBegin(server.server().id(), sentNanos);
+            request.planner().recordSavedSegments(dispatch);
+            recordPrefillEnd();
+        }
+    }
+
     private void checkStreamLimits() {
         if (request.hasOversizedEvent()) {
             connection.abort();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptWeights.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptWeights.java
@@ -6,7 +6,11 @@
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.transport.log.LogEvent;
 
-/** The weights with which an engine is assumed to run one attempt. */
+/**
+ * The weights with which an engine is assumed to run one attempt, and whether the request may still begin on them. A
+ * request begins with its first output token, which may be long after the choice of the engine: it waits for a
+ * connection and for its prefill, is queued, or preempted.
+ */
 final class AttemptWeights {
     private final Gateway gateway;
     private final String requestId;
@@ -37,6 +41,20 @@
                 dispatch.engine().map(EngineDispatch::weightsVersion).orElse(OptionalInt.empty()));
     }
 
+    // -- queries
+
+    /** Returns whether the request may be sent; it is assumed to begin some time later. */
+    boolean maySend() {
+        return model.map(name -> version.orElse(0) >= gateway.oldestAllowedWeights(name))
+                .orElse(true);
+    }
+
+    /** Returns whether the request may begin now. */
+    boolean mayBegin() {
+        return model.map(name -> version.orElse(0) >= gateway.oldestWeightsToBeginOn(name))
+                .orElse(true);
+    }
+
     // -- events
 
     /** Applies the version that the engine's response names. */
@@ -51,19 +69,19 @@
 
     private void recordBegin(String name, String server, long waitedNanos) {
         int known = version.orElse(0);
-        GatewayState state = gateway.state();
-        if (known >= state.publishedWeights(name)) {
+        int newest = gateway.state().publishedWeights(name);
+        if (known >= newest) {
             return;
         }
         Duration timeLeft = gateway.weightsTimeLeft(name, known);
-        Duration replaced = gateway.maxWeightsStaleness().minus(timeLeft);
-        gateway.metrics().recordOldWeightsAge(replaced);
+        Duration sinceReplaced = gateway.maxWeightsStaleness().minus(timeLeft);
+        gateway.metrics().recordOldWeightsAge(sinceReplaced);
         LogEvent.of("began_on_old_weights")
                 .with("request", requestId)
                 .with("server", server)
                 .with("weights", known)
-                .with("newest", state.publishedWeights(name))
-                .with("replaced_ms", replaced.toMillis())
+                .with("newest", newest)
+                .with("replaced_ms", sinceReplaced.toMillis())
                 .with("waited_ms", Duration.ofNanos(waitedNanos).toMillis())
                 .with("left_ms", timeLeft.toMillis())
                 .info();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -125,6 +125,13 @@
         }
     }
 
+    /** Withdraws the request from an engine on whose weights it may no longer begin. */
+    void withdrawIfOutdated() {
+        if (attempt != null) {
+            attempt.withdrawIfOutdated();
+        }
+    }
+
     private void startNextAttempt() {
         if (timeLeft().compareTo(MIN_ATTEMPT_TIME) <= 0) {
             handleDeadlineExpired();
@@ -164,13 +171,17 @@
 
     /**
      * Resumes the stream at the engine that holds the backup. Aborts the stream if the engine has loaded other weights
-     * since, because they make the KV memory useless.
+     * since, because they make the KV memory useless, or if nothing may begin on its weights any more.
      */
     private void resumeAtBackup(ServerState backup) {
         if (!planner.weightsVersion(backup).equals(backupWeightsVersion)) {
             abortStream("copy_of_other_weights");
             return;
         }
+        if (!planner.hasAllowedWeights(backup)) {
+            abortStream("copy_of_old_weights");
+            return;
+        }
         attemptedServers.add(backup.server().id());
         backupServer = Optional.empty();
         startAttempt(backup, planDispatch(backup, Optional.of(backup.server().address())), 0);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -182,9 +182,9 @@
     }
 
     /**
-     * Closes expired idle connections, abandons attempts at silent servers, and removes servers that did not register
-     * again after an outage. Must be called at least every 400 ms, because a longer gap counts as a pause of the
-     * process.
+     * Closes expired idle connections, withdraws requests that may no longer begin on their engine's weights, abandons
+     * attempts at silent servers, and removes servers that did not register again after an outage. Must be called at
+     * least every 400 ms, because a longer gap counts as a pause of the process.
      */
     public void tick() {
         pool.closeExpired();
@@ -193,6 +193,7 @@
             silenceValidFromNanos = nowNanos + Reachability.SILENCE_TIMEOUT.toNanos();
         }
         lastTickNanos = nowNanos;
+        List.copyOf(activeRequests).forEach(ForwardedRequest::withdrawIfOutdated);
         if (nowNanos - silenceValidFromNanos >= 0) {
             List.copyOf(activeRequests).forEach(request -> request.abandonIfSilent(nowNanos));
         }
@@ -231,6 +232,10 @@
         return state.oldestAllowedWeights(model, limits.usableWeightsStaleness());
     }
 
+    int oldestWeightsToBeginOn(String model) {
+        return state.oldestAllowedWeights(model, limits.beginWeightsStaleness());
+    }
+
     Duration weightsTimeLeft(String model, int version) {
         return state.weightsTimeLeft(model, version, limits.maxWeightsStaleness());
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
@@ -20,11 +20,14 @@
         double retrySlack,
         Duration maxWeightsStaleness,
         Duration shutdownGrace) {
+    /** The time in which a request that is sent is expected to begin at its engine. */
+    private static final Duration EXPECTED_TIME_TO_BEGIN = Duration.ofSeconds(1);
+
     /**
-     * Subtracted from the allowed staleness, because this entry may receive published weights late and a request may
-     * wait at an engine before it begins.
+     * Covers the time from the check of a waiting request until its engine has seen the closed connection, and the
+     * error of the age.
      */
-    private static final Duration WEIGHTS_STALENESS_MARGIN = Duration.ofSeconds(2);
+    private static final Duration WITHDRAWAL_MARGIN = Duration.ofSeconds(1);
 
     /** Checks the components. */
     public GatewayLimits {
@@ -38,9 +41,19 @@
     /**
      * Returns how long after the publication of newer weights this entry sends requests to servers with older ones.
      *
-     * @return the allowed staleness less a margin of 2 s
+     * @return the allowed staleness less 2 s
      */
     public Duration usableWeightsStaleness() {
-        return maxWeightsStaleness.minus(WEIGHTS_STALENESS_MARGIN);
+        return beginWeightsStaleness().minus(EXPECTED_TIME_TO_BEGIN);
+    }
+
+    /**
+     * Returns how long after the publication of newer weights this entry lets a request that it has sent wait at a
+     * server with older ones.
+     *
+     * @return the allowed staleness less 1 s
+     */
+    public Duration beginWeightsStaleness() {
+        return maxWeightsStaleness.minus(WITHDRAWAL_MARGIN);
     }
 }
