The age of weights counts from their publication on a clock that all entries share (VERSION)

What was seen: requests were sent to engines whose weights had been replaced longer ago than the operator allows. Cause: the age of a published version counted from the arrival of its row or of a peer's message, by the local monotonic clock. Peers correct it only if their messages arrive. Why it works: no delay between the store and the decision can make weights look younger. The gossip message changed: entries of the code before do not understand it.

--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time that several processes must agree on. */
+package org.geraniumford.core.time;
--- a/core/src/main/java/org/geraniumford/core/weights/WeightsHistory.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsHistory.java
@@ -34,9 +34,7 @@
     /** The newest version of unknown age when this history began; 0 if there is none. */
     private int initialVersion;
 
-    /**
-     * When the initial version was found or the first publication was recorded, in nanoseconds of a monotonic clock.
-     */
+    /** When the initial version was found or the first publication was recorded, in nanoseconds of the shared clock. */
     private long initialNanos;
 
     private WeightsHistory() {}
@@ -67,20 +65,25 @@
      * Returns the versions to announce, so that another entry avoids the same old weights as this one.
      *
      * @param model the name of the model
-     * @param nowNanos the present time in nanoseconds of a monotonic clock
+     * @param nowNanos the present time in nanoseconds of the shared clock
      * @return the newest versions whose publication was observed, at most four, and the initial version if none is
      *     newer
      */
     public List<PublishedWeights> gossip(String model, long nowNanos) {
         Stream<PublishedWeights> initial = Stream.of(initialVersion)
                 .filter(version -> version > 0 && version == newest() && !publishedNanos.containsKey(version))
-                .map(version -> new PublishedWeights(model, version, millis(nowNanos - initialNanos), false));
+                .map(version -> published(model, version, initialNanos, nowNanos, false));
         Stream<PublishedWeights> observed = publishedNanos.descendingMap().entrySet().stream()
                 .limit(MAX_GOSSIP_VERSIONS)
-                .map(entry -> new PublishedWeights(model, entry.getKey(), millis(nowNanos - entry.getValue()), true));
+                .map(entry -> published(model, entry.getKey(), entry.getValue(), nowNanos, true));
         return Stream.concat(observed, initial).toList();
     }
 
+    private static PublishedWeights published(
+            String model, int version, long atNanos, long nowNanos, boolean observed) {
+        return new PublishedWeights(model, version, millis(atNanos), millis(nowNanos - atNanos), observed);
+    }
+
     private static long millis(long nanos) {
         return Duration.ofNanos(nanos).toMillis();
     }
@@ -89,7 +92,7 @@
      * Returns the oldest version on which a request may still begin.
      *
      * @param maxStaleness how long older weights may be used after a version was published
-     * @param nowNanos the present time in nanoseconds of a monotonic clock
+     * @param nowNanos the present time in nanoseconds of the shared clock
      * @return the newest version that was published longer ago than {@code maxStaleness}, or the newest version of
      *     unknown age if that one is newer and more than 1 s has passed since the first version was found or recorded;
      *     0 if there is neither, so that every version is allowed
@@ -109,7 +112,7 @@
      *
      * @param version the version
      * @param maxStaleness how long older weights may be used after a version was published
-     * @param nowNanos the present time in nanoseconds of a monotonic clock
+     * @param nowNanos the present time in nanoseconds of the shared clock
      * @return the time until the first newer version has been published for {@code maxStaleness}, negative afterwards;
      *     {@code maxStaleness} if there is no newer version; zero if it is not known when one was published
      */
@@ -145,8 +148,8 @@
      * Records a version that was published at a known time. If several times are reported, the earliest is kept.
      *
      * @param version the version
-     * @param atNanos when the version was published, in nanoseconds of a monotonic clock
-     * @param nowNanos the present time in nanoseconds of a monotonic clock
+     * @param atNanos when the version was published, in nanoseconds of the shared clock
+     * @param nowNanos the present time in nanoseconds of the shared clock
      */
     public void recordPublished(int version, long atNanos, long nowNanos) {
         if (isEmpty()) {
@@ -165,8 +168,8 @@
      * this version counts as published at the time it was found.
      *
      * @param version the version
-     * @param atNanos when the version was found, in nanoseconds of a monotonic clock
-     * @param nowNanos the present time in nanoseconds of a monotonic clock
+     * @param atNanos when the version was found, in nanoseconds of the shared clock
+     * @param nowNanos the present time in nanoseconds of the shared clock
      */
     public void recordInitial(int version, long atNanos, long nowNanos) {
         if (isEmpty()) {
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsHistoryTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsHistoryTest.java
@@ -65,14 +65,14 @@
         history.recordInitial(4, 100 * SECOND_NANOS, 100 * SECOND_NANOS);
         assertThat(history.oldestAllowed(MAX_STALENESS, 102 * SECOND_NANOS)).isEqualTo(3);
         assertThat(history.gossip("model", 102 * SECOND_NANOS))
-                .containsExactly(new PublishedWeights("model", 4, 2000, true));
+                .containsExactly(new PublishedWeights("model", 4, 100_000, 2000, true));
     }
 
     @Test
     void shouldAnnounceInitialVersionAsNotObserved() {
         history.recordInitial(3, 90 * SECOND_NANOS, 90 * SECOND_NANOS);
         assertThat(history.gossip("model", 92 * SECOND_NANOS))
-                .containsExactly(new PublishedWeights("model", 3, 2000, false));
+                .containsExactly(new PublishedWeights("model", 3, 90_000, 2000, false));
     }
 
     @Test
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -14,6 +14,7 @@
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
+import org.geraniumford.core.time.SharedClock;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsHistory;
 import org.geraniumford.transport.log.LogEvent;
@@ -23,19 +24,24 @@
     /** The number of entries assumed until gossip shows that there are more. */
     private static final int ASSUMED_ENTRIES = 8;
 
+    /** A correction of the clock by more than this is logged. */
+    private static final Duration LOGGED_CLOCK_ERROR = Duration.ofMillis(100);
+
     private final String failureDomain;
     private final ServerDirectory directory = ServerDirectory.empty(
             name -> routingTable().flatMap(table -> table.service(name)).flatMap(ServiceDefinition::engine));
     private final Map<String, WeightsHistory> weightsHistories = new HashMap<>();
     private final CacheStores cacheStores = CacheStores.empty();
+    private final SharedClock clock;
     private Runnable loadListener = () -> {};
     private RoutingTable routingTable;
     private Set<String> alivePeers = Set.of();
     private boolean serverListLoaded;
     private int entryCount = ASSUMED_ENTRIES;
 
-    private GatewayState(String failureDomain) {
+    private GatewayState(String failureDomain, SharedClock clock) {
         this.failureDomain = failureDomain;
+        this.clock = clock;
     }
 
     // -- construction
@@ -47,7 +53,19 @@
      * @return an empty state
      */
     public static GatewayState empty(String failureDomain) {
-        return new GatewayState(requireNonNull(failureDomain, "failureDomain is null"));
+        return of(failureDomain, SharedClock.of(System::nanoTime));
+    }
+
+    /**
+     * Creates a state without configuration, servers or peers.
+     *
+     * @param failureDomain the failure domain of this entry
+     * @param clock the clock in which ages are counted
+     * @return an empty state
+     */
+    static GatewayState of(String failureDomain, SharedClock clock) {
+        return new GatewayState(
+                requireNonNull(failureDomain, "failureDomain is null"), requireNonNull(clock, "clock is null"));
     }
 
     // -- queries
@@ -130,7 +148,7 @@
      *     entry's start if none is newer
      */
     public List<PublishedWeights> weightsGossip() {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.nanos();
         return weightsHistories.entrySet().stream()
                 .flatMap(entry -> entry.getValue().gossip(entry.getKey(), nowNanos).stream())
                 .toList();
@@ -144,7 +162,7 @@
      * @return the version; 0 if every version is allowed
      */
     public int oldestAllowedWeights(String model, Duration maxStaleness) {
-        return history(model).oldestAllowed(maxStaleness, System.nanoTime());
+        return history(model).oldestAllowed(maxStaleness, clock.nanos());
     }
 
     /**
@@ -156,13 +174,22 @@
      * @return the time left; zero or negative if requests may no longer begin on it, or if that is not known
      */
     public Duration weightsTimeLeft(String model, int version, Duration maxStaleness) {
-        return history(model).timeLeft(version, maxStaleness, System.nanoTime());
+        return history(model).timeLeft(version, maxStaleness, clock.nanos());
     }
 
     private WeightsHistory history(String model) {
         return weightsHistories.getOrDefault(model, WeightsHistory.empty());
     }
 
+    /**
+     * Returns the time of the clock that all entries share.
+     *
+     * @return the estimated time in milliseconds
+     */
+    public long sharedMillis() {
+        return clock.millis();
+    }
+
     /**
      * Returns the cache stores and the prompt segments that can be fetched from them.
      *
@@ -224,13 +251,26 @@
         return true;
     }
 
+    /**
+     * Applies a reading of the clock that all entries share.
+     *
+     * @param sharedMillis what the clock showed at some time before now, in milliseconds
+     */
+    public void observeSharedClock(long sharedMillis) {
+        long behindMillis = clock.observe(sharedMillis);
+        if (behindMillis > LOGGED_CLOCK_ERROR.toMillis()) {
+            LogEvent.of("clock_advanced").with("behind_ms", behindMillis).info();
+        }
+    }
+
     /**
      * Records a published version of a model's weights.
      *
-     * @param published the model, the version, its age, and whether its publication was observed
+     * @param published the model, the version, its time, and whether its publication was observed
      * @param source where the version was read, for the log: the store or a peer
      */
     public void recordPublishedWeights(PublishedWeights published, String source) {
+        observeSharedClock(published.publishedMillis() + published.ageMillis());
         WeightsHistory history = weightsHistories.computeIfAbsent(published.model(), model -> WeightsHistory.empty());
         if (published.version() > history.newest()) {
             LogEvent.of("weights_named")
@@ -241,9 +281,9 @@
                     .with("source", source)
                     .info();
         }
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.nanos();
         long publishedOrFoundNanos =
-                nowNanos - Duration.ofMillis(published.ageMillis()).toNanos();
+                Duration.ofMillis(published.publishedMillis()).toNanos();
         if (published.publicationObserved()) {
             history.recordPublished(published.version(), publishedOrFoundNanos, nowNanos);
         } else {
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/GatewayStateTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/GatewayStateTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +14,8 @@
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
+import org.geraniumford.core.time.SharedClock;
+import org.geraniumford.core.weights.PublishedWeights;
 import org.junit.jupiter.api.Test;
 
 final class GatewayStateTest {
@@ -20,7 +23,10 @@
 
     private static final String CACHE_STORE = "10.0.0.9:80";
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final GatewayState state = GatewayState.empty("here");
+    private long localMillis;
 
     private static RoutingTable table(long version) {
         ServiceDefinition engines =
@@ -41,6 +47,33 @@
         return state.directory().find("engine").orElseThrow();
     }
 
+    /** Guards against requests on replaced weights after all entries were suspended: the local clock stood still. */
+    @Test
+    void shouldCountTheAgeOfWeightsThroughASuspensionWhenTheSharedClockIsReadAgain() {
+        localMillis = 5000;
+        GatewayState suspended = GatewayState.of("here", SharedClock.of(() -> localMillis * NANOS_PER_MILLI));
+        suspended.observeSharedClock(100_000);
+        suspended.recordPublishedWeights(new PublishedWeights("model", 2, 100_000, 0, true), "store");
+        localMillis += 1001;
+        assertThat(suspended.oldestAllowedWeights("model", Duration.ofSeconds(6)))
+                .isEqualTo(1);
+        // The host was suspended for 5.5 s, which its own clock does not count.
+        suspended.observeSharedClock(106_500);
+        assertThat(suspended.oldestAllowedWeights("model", Duration.ofSeconds(6)))
+                .isEqualTo(2);
+    }
+
+    /** Guards against an age that counts from the arrival of a peer's message, which a frozen process reads late. */
+    @Test
+    void shouldKeepTheTimeOfPublicationWhenAnAnnouncementWasLongOnItsWay() {
+        GatewayState frozen = GatewayState.of("here", SharedClock.of(() -> localMillis * NANOS_PER_MILLI));
+        frozen.observeSharedClock(100_000);
+        localMillis += 8000;
+        frozen.recordPublishedWeights(new PublishedWeights("model", 2, 101_000, 20, true), "peer");
+        assertThat(frozen.oldestAllowedWeights("model", Duration.ofSeconds(6))).isEqualTo(2);
+        assertThat(frozen.weightsGossip()).containsExactly(new PublishedWeights("model", 2, 101_000, 7000, true));
+    }
+
     /**
      * Guards against losing the engine's capacity at startup, when the server list may arrive before the configuration.
      */
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -34,7 +34,7 @@
         state.directory()
                 .register(
                         new BackendServer("engine", 1, "engines", "10.0.0.1:80", "here", 8, false, Map.of("model", 1)));
-        state.recordPublishedWeights(new PublishedWeights("model", 2, 0, true), "store");
+        state.recordPublishedWeights(new PublishedWeights("model", 2, 0, 0, true), "store");
         controller.tick();
         controller.tick();
         assertThat(engine.orders).isEqualTo(1);
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -46,7 +46,7 @@
                 new Message.Gossip(
                         List.of(new ServerLoad("server-1", 3, 27_000, 9000)),
                         List.of(new LeavingServer("server-2", 1_770_000_000_000L)),
-                        List.of(new PublishedWeights("model", 2, 1500, true)),
+                        List.of(new PublishedWeights("model", 2, 86_400_000_000L, 1500, true)),
                         new LeaseSnapshot(17, "1 host-a 5"),
                         new CacheGossip(
                                 List.of(Long.MIN_VALUE, 5L),
