--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -136,14 +136,6 @@
                 .orElse(OptionalInt.empty());
     }
 
-    /** Returns whether a request may still be sent to the server, whose weights may have been replaced. */
-    boolean hasAllowedWeights(ServerState server) {
-        return admitted.request()
-                .prompt()
-                .map(prompt -> weightsVersion(server).orElse(0) >= gateway.oldestAllowedWeights(prompt.model()))
-                .orElse(true);
-    }
-
     /** Returns the estimated number of prompt tokens that the server must prefill; 0 if the request has no prompt. */
     long prefillTokens(ServerState server) {
         return admitted.request()
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -171,17 +171,13 @@
 
     /**
      * Resumes the stream at the engine that holds the backup. Aborts the stream if the engine has loaded other weights
-     * since, because they make the KV memory useless, or if nothing may begin on its weights any more.
+     * since, because they make the KV memory useless.
      */
     private void resumeAtBackup(ServerState backup) {
         if (!planner.weightsVersion(backup).equals(backupWeightsVersion)) {
             abortStream("copy_of_other_weights");
             return;
         }
-        if (!planner.hasAllowedWeights(backup)) {
-            abortStream("copy_of_old_weights");
-            return;
-        }
         attemptedServers.add(backup.server().id());
         backupServer = Optional.empty();
         startAttempt(backup, planDispatch(backup, Optional.of(backup.server().address())), 0);
