Entries log and tell each other under which prompt segments engines end

Change: lines engine_ended, segment_held, segment_released and segment_trial, counters, gossip at once and in each regular message. Nothing is refused yet. A connection that ends is told from bytes that are no answer (ResponseListener.closed).

--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -9,6 +9,7 @@
 import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.prefix.Block;
 import org.geraniumford.core.prefix.CacheScope;
+import org.geraniumford.core.quarantine.QuarantineGossip;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.PublishedWeights;
@@ -23,8 +24,7 @@
      * @param processId the sender's name from its settings
      * @param role the sender's role
      * @param failureDomain the sender's failure domain from its settings
-     * @param backend for a sidecar, the name of its plain service, or its own name if its backend server is a model
-     *     engine; empty for other roles
+     * @param backend for a sidecar, the name of its plain service, or its own if it has an engine; empty for others
      */
     record Hello(String processId, Role role, String failureDomain, String backend) implements Message {}
 
@@ -82,8 +82,7 @@
      *
      * @param id the identifier of the request
      * @param cachedBlocks the number of leading blocks that the engine caches
-     * @param pendingBlocks the number of leading blocks that the engine will cache once running prefills end, at least
-     *     {@code cachedBlocks}
+     * @param pendingBlocks the number of leading blocks cached once running prefills end, {@code cachedBlocks} or more
      * @param estimatedWaitMicros the estimated queueing delay, in microseconds
      * @param backendIncarnation the engine's incarnation
      * @param leaving whether the sidecar takes no new work
@@ -235,8 +234,7 @@
     record CallResponse(AttemptId id, int status, String contentType, String body) implements Message {}
 
     /**
-     * Closes an attempt token at a sidecar, which from then on refuses calls with it. A token that was used for a call
-     * before remains used.
+     * Closes an attempt token at a sidecar, which refuses later calls with it. A token used before remains used.
      *
      * @param id the identifier that the response echoes
      * @param attemptToken the token
@@ -382,13 +380,15 @@
      * @param weights the recently published versions of each model's weights
      * @param lease the weights lease as the sender last read, wrote or received it; empty if not renewed recently
      * @param cache the cache changes caused by the requests that the sender forwarded since its last gossip
+     * @param quarantine the prompt segments under which engines ended
      */
     record Gossip(
             List<ServerLoad> loads,
             List<LeavingServer> leaving,
             List<PublishedWeights> weights,
             LeaseSnapshot lease,
-            CacheGossip cache)
+            CacheGossip cache,
+            QuarantineGossip quarantine)
             implements Message {
         /** Copies the lists. */
         public Gossip {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -28,7 +28,9 @@
 
     private final long prefillTokens;
     private final AttemptWeights weights;
+    private final AttemptPrompt attemptPrompt;
     private boolean prefilling;
+
     private ServerConnection connection;
     private ResponseKind kind;
     private HttpResponse head;
@@ -41,6 +43,7 @@
     private boolean ended;
 
     Attempt(ForwardedRequest request, ServerState server, Dispatch dispatch, long prefillTokens) {
+        this.attemptPrompt = request.beginPrompt();
         this.prefillTokens = prefillTokens;
         this.request = request;
         this.server = server;
@@ -235,7 +238,9 @@
         if (isStreamResponse()) {
             server.reachability().recordActivity(System.nanoTime());
             recordBegin();
-            request.forwardStreamChunk(head, chunk);
+            if (request.forwardStreamChunk(head, chunk)) {
+                attemptPrompt.recordWholeEvent();
+            }
             checkStreamLimits();
         } else if (receivedBytes <= ResponseLimits.MAX_BUFFERED_BYTES) {
             recordPrefillEnd();
@@ -320,9 +325,12 @@
     private void complete() {
         logResponseEnd();
         if (isStreamResponse() && !request.isStreamCompleteAtEnd(isEndMarked())) {
-            failed("the stream ends early");
+            closed("the stream ends early");
             return;
         }
+        if (!isStreamResponse() && head.status().code() == 200) {
+            attemptPrompt.recordWholeEvent();
+        }
         markEnded();
         server.recordSuccess();
         if (isStreamResponse()) {
@@ -348,6 +356,14 @@
         return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
     }
 
+    @Override
+    public void closed(String reason) {
+        if (!ended) {
+            attemptPrompt.recordClosed(server.server(), sentNanos);
+        }
+        failed(reason);
+    }
+
     @Override
     public void failed(String reason) {
         if (ended) {
@@ -374,6 +390,7 @@
     /** Marks this attempt as ended and subtracts its load from the server's. */
     private void markEnded() {
         ended = true;
+        attemptPrompt.release();
         recordPrefillEnd();
         server.recordEnded(totalTokens);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -169,6 +169,10 @@
         attempt.start();
     }
 
+    AttemptPrompt beginPrompt() {
+        return AttemptPrompt.begin(gateway.quarantine(), admitted, machine.responseStarted());
+    }
+
     /**
      * Resumes the stream at the engine that holds the backup. Aborts the stream if the engine has loaded other weights
      * since, because they make the KV memory useless, or if nothing may begin on its weights any more.
@@ -245,13 +249,13 @@
     }
 
     /**
-     * Forwards the events that a chunk completes. An incomplete event is never forwarded, because the server may break
-     * the stream off within it.
+     * Forwards the events that a chunk completes, and returns whether it completes any. An incomplete event is never
+     * forwarded, because the server may break the stream off within it.
      */
-    void forwardStreamChunk(HttpResponse head, ByteBuf chunk) {
+    boolean forwardStreamChunk(HttpResponse head, ByteBuf chunk) {
         byte[] events = framer.feed(ByteBufUtil.getBytes(chunk));
         if (events.length == 0) {
-            return;
+            return false;
         }
         if (!machine.responseStarted()) {
             machine.markResponseStarted();
@@ -262,6 +266,7 @@
         if (!exchange.isWritable() && attempt != null) {
             attempt.setReading(false);
         }
+        return true;
     }
 
     boolean isWithinEvent() {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -42,6 +42,7 @@
     private final GatewayProtocol protocol;
     private final GatewayLimits limits;
     private final GatewayMetrics metrics;
+    private final PromptQuarantine quarantine;
     private final ConnectionPool pool;
     private final RandomGenerator random;
     private final ServerChooser chooser;
@@ -57,7 +58,9 @@
             GatewayProtocol protocol,
             GatewayLimits limits,
             GatewayMetrics metrics,
+            PromptQuarantine quarantine,
             RandomGenerator random) {
+        this.quarantine = quarantine;
         this.loop = loop;
         this.state = state;
         this.protocol = protocol;
@@ -78,6 +81,7 @@
      * @param protocol the header fields of the deployment
      * @param limits the limits that the deployment sets
      * @param metrics the counters and histograms to update
+     * @param quarantine the prompt segments under which engines ended
      * @param random the source of randomness for picking one of a route's services and breaking ties
      * @return a gateway that serves requests once the state is ready
      */
@@ -87,6 +91,7 @@
             GatewayProtocol protocol,
             GatewayLimits limits,
             GatewayMetrics metrics,
+            PromptQuarantine quarantine,
             RandomGenerator random) {
         return new Gateway(
                 requireNonNull(loop, "loop is null"),
@@ -94,6 +99,7 @@
                 requireNonNull(protocol, "protocol is null"),
                 requireNonNull(limits, "limits is null"),
                 requireNonNull(metrics, "metrics is null"),
+                requireNonNull(quarantine, "quarantine is null"),
                 requireNonNull(random, "random is null"));
     }
 
@@ -264,6 +270,10 @@
         return metrics;
     }
 
+    PromptQuarantine quarantine() {
+        return quarantine;
+    }
+
     ConnectionPool pool() {
         return pool;
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.geraniumford.core.configuration.Sha256;
 import org.geraniumford.core.fleet.CacheGossip;
+import org.geraniumford.core.quarantine.SegmentQuarantine;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
@@ -30,9 +31,9 @@
 import org.geraniumford.transport.log.LogEvent;
 
 /**
- * Exchanges load, leaving servers, published weights, the weights lease, cache changes and the configuration with the
- * other entries. State that one entry read from the store thus reaches entries whose requests the store rejects. Runs
- * on one network thread.
+ * Exchanges load, leaving servers, published weights, the weights lease, cache changes, suspect prompt segments and the
+ * configuration with the other entries. State that one entry read from the store thus reaches entries whose requests
+ * the store rejects. Runs on one network thread.
  */
 public final class GossipExchange implements LinkHandler {
     /** A peer that was silent for this long is not counted as alive, and its load is dropped. */
@@ -56,6 +57,7 @@
 
     private final String host;
     private final GatewayState state;
+    private final SegmentQuarantine quarantine;
     private final ConfigurationRelay configuration;
     private final RolloutController rollout;
     private final EventLoop loop;
@@ -79,11 +81,13 @@
     private GossipExchange(
             String host,
             GatewayState state,
+            SegmentQuarantine quarantine,
             ConfigurationRelay configuration,
             RolloutController rollout,
             EventLoop loop,
             Executor delivery,
             InetSocketAddress ownAddress) {
+        this.quarantine = quarantine;
         this.rollout = rollout;
         this.host = host;
         this.state = state;
@@ -102,6 +106,7 @@
      *
      * @param host the name of this host
      * @param state the state that is announced to peers and updated by their gossip
+     * @param quarantine the suspect prompt segments
      * @param configuration the configuration in force
      * @param rollout the controller that announces and receives the weights lease
      * @param loop the network thread
@@ -112,6 +117,7 @@
     public static GossipExchange of(
             String host,
             GatewayState state,
+            SegmentQuarantine quarantine,
             ConfigurationRelay configuration,
             RolloutController rollout,
             EventLoop loop,
@@ -120,6 +126,7 @@
         return new GossipExchange(
                 requireNonNull(host, "host is null"),
                 requireNonNull(state, "state is null"),
+                requireNonNull(quarantine, "quarantine is null"),
                 requireNonNull(configuration, "configuration is null"),
                 requireNonNull(rollout, "rollout is null"),
                 requireNonNull(loop, "loop is null"),
@@ -173,6 +180,7 @@
         connectors.values().forEach(connector -> connector.connectIfDue(nowNanos));
         removeSilentPeers(nowNanos);
         state.updateAlivePeers(lastSeenNanos.keySet());
+        quarantine.updatePeers(lastSeenNanos.keySet());
         reportIfDue(nowNanos);
     }
 
@@ -196,7 +204,8 @@
                 lease,
                 new CacheGossip(
                         state.cacheStores().savedSegments().unannounced(),
-                        state.directory().unannouncedPrefills()));
+                        state.directory().unannouncedPrefills()),
+                quarantine.gossip(System.nanoTime()));
     }
 
     /** Logs what the peers cost, so that late or lost gossip can be told from other causes of a bad choice. */
@@ -282,6 +291,7 @@
         gossip.weights().forEach(weights -> state.recordPublishedWeights(weights, peer));
         state.cacheStores().savedSegments().applyGossip(gossip.cache().savedKeys(), System.nanoTime());
         state.directory().applyGossip(gossip.cache().prefilled());
+        quarantine.applyGossip(peer, gossip.quarantine(), System.nanoTime());
     }
 
     private void sendConfiguration(Link link, Message.ConfigurationRequest request) {
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
@@ -36,6 +36,7 @@
                     getClass().getClassLoader(), new Class<?>[] {GatewayProtocol.class}, (proxy, method, args) -> null),
             new GatewayLimits(0.2, Duration.ofSeconds(10), 100, MAX_STALENESS, Duration.ofSeconds(8)),
             GatewayMetrics.of(new SimpleMeterRegistry()),
+            PromptQuarantine.of("host", new SimpleMeterRegistry()),
             new Random(1));
 
     @AfterEach
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ScopedSegment;
+import org.geraniumford.core.quarantine.QuarantineListener;
+import org.geraniumford.core.quarantine.SegmentQuarantine;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -33,7 +35,15 @@
     private final GossipExchange exchange = exchange(channel.eventLoop());
 
     private GossipExchange exchange(EventLoop loop) {
-        return GossipExchange.of("host", state, new NoConfiguration(), rollout(), loop, Runnable::run, OWN_ADDRESS);
+        return GossipExchange.of(
+                "host",
+                state,
+                SegmentQuarantine.empty("host", new IgnoredChanges()),
+                new NoConfiguration(),
+                rollout(),
+                loop,
+                Runnable::run,
+                OWN_ADDRESS);
     }
 
     private RolloutController rollout() {
@@ -92,6 +102,23 @@
 
     // -- stand-ins
 
+    private static final class IgnoredChanges implements QuarantineListener {
+        @Override
+        public void changed() {
+            // Nothing is announced in these tests.
+        }
+
+        @Override
+        public void held(long segment, int count, Duration hold) {
+            throw new AssertionError("no engine ends");
+        }
+
+        @Override
+        public void released(long segment) {
+            throw new AssertionError("no engine ends");
+        }
+    }
+
     private static final class NoConfiguration implements ConfigurationRelay {
         @Override
         public long version() {
--- a/transport/src/main/java/org/geraniumford/transport/forward/ResponseListener.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ResponseListener.java
@@ -36,4 +36,13 @@
      * @param reason the cause as a text for the log
      */
     void failed(String reason);
+
+    /**
+     * Called in place of {@link #failed} when the connection ends before the response is complete.
+     *
+     * @param reason the cause as a text for the log
+     */
+    default void closed(String reason) {
+        failed(reason);
+    }
 }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** A connection of a {@link ConnectionPool}, for one request at a time. Used on its network thread only. */
@@ -228,26 +229,31 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(cause instanceof IOException ? "reset: " + cause.getMessage() : cause.toString());
+        if (cause instanceof IOException) {
+            endListener("reset: " + cause.getMessage()).ifPresent(interrupted -> interrupted.closed(failure));
+        } else {
+            fail(cause.toString());
+        }
     }
 
     private void fail(String reason) {
+        endListener(reason).ifPresent(interrupted -> interrupted.failed(reason));
+    }
+
+    /** Closes the connection, and returns the listener of the response that is thereby interrupted. */
+    private Optional<ResponseListener> endListener(String reason) {
         failure = reason;
         reusable = false;
         ResponseListener interrupted = listener;
         listener = null;
         channel.close();
-        if (interrupted != null) {
-            interrupted.failed(reason);
-        }
+        return Optional.ofNullable(interrupted);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         reusable = false;
         closedListener.accept(this);
-        if (listener != null) {
-            fail(failure);
-        }
+        endListener(failure).ifPresent(interrupted -> interrupted.closed(failure));
     }
 }
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.LongStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.geraniumford.core.fleet.CacheGossip;
@@ -16,6 +17,8 @@
 import org.geraniumford.core.prefix.Block;
 import org.geraniumford.core.prefix.BlockKey;
 import org.geraniumford.core.prefix.CacheScope;
+import org.geraniumford.core.quarantine.QuarantineGossip;
+import org.geraniumford.core.quarantine.SuspectSegment;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
@@ -50,7 +53,10 @@
                         new LeaseSnapshot(17, "1 host-a 5"),
                         new CacheGossip(
                                 List.of(Long.MIN_VALUE, 5L),
-                                List.of(new PrefilledSegments("server-1", List.of(new ScopedSegment(-7, 3780)))))),
+                                List.of(new PrefilledSegments("server-1", List.of(new ScopedSegment(-7, 3780))))),
+                        new QuarantineGossip(
+                                List.of(new SuspectSegment(-9, 3, 1, 1500, List.of(Long.MAX_VALUE, 2L))),
+                                List.of(-9L))),
                 new Message.Hello("entry-1", Role.ENTRY, "kigali-a", ""),
                 new Message.SidecarState("", "draft-2", "abc", 3, true, 12),
                 new Message.Probe(1, "abc", List.of(-5L, Long.MAX_VALUE)),
@@ -98,6 +104,25 @@
                 .isLessThanOrEqualTo(LimitOwner.EXCHANGE_BYTES);
     }
 
+    /** Guards against gossip about suspect segments that small hosts and links between failure domains pay for. */
+    @Test
+    void shouldTakeAtMostEightKilobytesToAnnounceAsManySuspectSegmentsAsAnEntryDoes() throws BrokenFrameException {
+        List<Long> servers = LongStream.range(0, 8)
+                .mapToObj(server -> Long.MIN_VALUE + server)
+                .toList();
+        List<SuspectSegment> suspects = LongStream.range(0, 64)
+                .mapToObj(segment -> new SuspectSegment(Long.MIN_VALUE + segment, 1000, 1, 172_800_000, servers))
+                .toList();
+        Message.Gossip gossip = new Message.Gossip(
+                List.of(),
+                List.of(),
+                List.of(),
+                LeaseSnapshot.empty(),
+                new CacheGossip(List.of(), List.of()),
+                new QuarantineGossip(suspects, List.of()));
+        assertThat(FrameCodec.encode(new Envelope(1, 1, 1, gossip))).hasSizeLessThanOrEqualTo(8192);
+    }
+
     @ParameterizedTest
     @MethodSource("messages")
     void shouldFailWithBrokenFrameExceptionWhenAFrameIsTruncatedAnywhere(Message message) throws BrokenFrameException {
