--- a/core/src/main/java/org/geraniumford/core/verdict/Reason.java
+++ b/core/src/main/java/org/geraniumford/core/verdict/Reason.java
@@ -54,6 +54,8 @@
     RING_FULL(503, true),
     /** The retry budget is spent. */
     RETRY_BUDGET_SPENT(503, true),
+    /** Engines ended under a segment of the prompt, one after the other. */
+    SEGMENT_QUARANTINED(503, true),
     /** The engine restarted since it was chosen. */
     STALE_INCARNATION(503, true),
     /** The engine serves other weights than the request requires. */
