Requests with a segment under which engines ended twice are held, and tried singly

What callers saw (BUDGET): requests with one segment in their prompts ended engine after engine, and other requests on these engines broke off. Cause: a broken attempt counted only against the server; the same request, and all others like it, went on to the next. Change: before each attempt, first or retry, DispatchPlanner.decide asks the quarantine. A held request is refused with 503 and the time that is left, or 502 if it may have run; a suspect one goes to the engine with the fewest requests. Why it works: a bad segment never gets a first event, so ends under it follow one another at all entries; sound segments are cleared by any response.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -85,8 +85,9 @@
      * @param directory the known servers
      * @param query the request's requirements
      * @param nowNanos the current time, from {@link System#nanoTime}
-     * @return the server with the lowest cost among those that take new work, have allowed weights and are not
-     *     excluded; a suspended or loading one only for a first attempt, if there is no other; empty if there is none
+     * @return the server with the lowest cost, or the fewest requests if the query prefers that, among those that take
+     *     new work, have allowed weights and are not excluded; a suspended or loading one only for a first attempt, if
+     *     there is no other; empty if there is none
      */
     public Optional<ServerState> choose(ServerDirectory directory, ServerQuery query, long nowNanos) {
         List<ServerState> eligible = eligible(directory, query).toList();
@@ -140,10 +141,19 @@
                 .map(state -> new ScoredServer(state, cost(state, query) + random.nextDouble() * MAX_TIE_BREAK_MS))
                 .map(scored ->
                         scored.withGain(preferred.filter(scored.state()::equals).isPresent() ? RENDEZVOUS_GAIN_MS : 0))
-                .min(Comparator.comparingDouble(ScoredServer::costMs))
+                .min(byPreference(query))
                 .map(ScoredServer::state);
     }
 
+    private static Comparator<ScoredServer> byPreference(ServerQuery query) {
+        Comparator<ScoredServer> byCost = Comparator.comparingDouble(ScoredServer::costMs);
+        return query.fewestRequests()
+                ? Comparator.<ScoredServer>comparingInt(
+                                scored -> scored.state().totalLoad().running())
+                        .thenComparing(byCost)
+                : byCost;
+    }
+
     private static boolean hasRequiredWeights(ServerState state, ServerQuery query) {
         return query.prompt()
                 .map(scoped -> state.weightsVersion(scoped.prompt().model()).orElse(0) >= query.minWeightsVersion())
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -26,6 +26,7 @@
  * @param fetchable whether engines can fetch uncached shared segments from the cache store
  * @param excluded the names of the servers that must not be chosen, because the request has or had an attempt there;
  *     empty only for the choice of the first attempt
+ * @param fewestRequests whether the server with the fewest requests is preferred, because it may end under the request
  */
 public record ServerQuery(
         String service,
@@ -37,7 +38,8 @@
         OptionalLong firstUnsavedSegment,
         Duration targetLatency,
         boolean fetchable,
-        Set<String> excluded) {
+        Set<String> excluded,
+        boolean fewestRequests) {
     /** Checks and copies the components. */
     public ServerQuery {
         requireNonNull(service, "service is null");
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -54,7 +54,8 @@
                 OptionalLong.empty(),
                 TARGET_LATENCY,
                 false,
-                excluded);
+                excluded,
+                false);
     }
 
     private String chosenId(ServerQuery query) {
@@ -92,7 +93,8 @@
                 OptionalLong.empty(),
                 TARGET_LATENCY,
                 true,
-                Set.of());
+                Set.of(),
+                false);
         assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-2");
         assertThat(chosenId(fetchable)).isEqualTo("near-1");
     }
@@ -104,6 +106,28 @@
         assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-1");
     }
 
+    /** Guards against many requests that break off together, because a suspect one ended the engine that they share. */
+    @Test
+    void shouldReturnTheServerWithTheFewestRequestsWhenItMayEndUnderTheRequest() {
+        state("near-1").cache().recordPrefilled(SCOPED.sharedSegments());
+        state("near-1").updatePeerLoad("peer", new ServerLoad("near-1", 1, 1000, 0));
+        state("near-2").updatePeerLoad("peer", new ServerLoad("near-2", 1, 1000, 0));
+        ServerQuery suspected = new ServerQuery(
+                "service",
+                "here",
+                18_000,
+                Optional.of(SCOPED),
+                1,
+                0,
+                OptionalLong.empty(),
+                TARGET_LATENCY,
+                false,
+                Set.of(),
+                true);
+        assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-1");
+        assertThat(chosenId(suspected)).isEqualTo("far");
+    }
+
     @Test
     void shouldReturnAServerOfAnotherFailureDomainOnlyWhenTheOwnServersAreFull() {
         state("near-1").updatePeerLoad("peer", new ServerLoad("near-1", 2, 18_000, 9000));
@@ -149,7 +173,8 @@
                     OptionalLong.of(i * 7919L),
                     TARGET_LATENCY,
                     false,
-                    Set.of());
+                    Set.of(),
+                    false);
             ServerQuery fromThere = new ServerQuery(
                     "service",
                     "there",
@@ -160,7 +185,8 @@
                     OptionalLong.of(i * 7919L),
                     TARGET_LATENCY,
                     false,
-                    Set.of());
+                    Set.of(),
+                    false);
             assertThat(otherChooser.choose(directory, fromThere, NOW_NANOS))
                     .isEqualTo(chooser.choose(directory, fromHere, NOW_NANOS));
         }
@@ -246,7 +272,17 @@
     void shouldNotReturnOverloadedWhenOneEngineHasRoomOrTheRequestHasNoPrompt() {
         loadAll(new ServerLoad("any", 64, 90_000, 90_000));
         ServerQuery withoutPrompt = new ServerQuery(
-                "service", "here", 0, Optional.empty(), 0, 0, OptionalLong.empty(), TARGET_LATENCY, false, Set.of());
+                "service",
+                "here",
+                0,
+                Optional.empty(),
+                0,
+                0,
+                OptionalLong.empty(),
+                TARGET_LATENCY,
+                false,
+                Set.of(),
+                false);
         assertThat(isOverloaded(withoutPrompt)).isFalse();
         state("far").updatePeerLoad("peer", ServerLoad.idle("far"));
         assertThat(isOverloaded(query(Set.of(), 1))).isFalse();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -15,6 +15,7 @@
 import org.geraniumford.core.fleet.ServerQuery;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.prompt.PromptSpec;
+import org.geraniumford.core.quarantine.QuarantineDecision;
 import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RouteKind;
@@ -43,14 +44,31 @@
 
     // -- choice of servers
 
-    /** Chooses the server for the next attempt; empty if no server outside the given ids can run the request. */
-    Optional<ServerState> chooseServer(Set<String> attemptedServers) {
-        return gateway.chooser().choose(gateway.state().directory(), query(attemptedServers), System.nanoTime());
+    /**
+     * Decides whether an attempt may begin, although engines may have ended under the prompt's segments. For the first
+     * attempt and for each retry, this is the only place.
+     */
+    QuarantineDecision decide() {
+        return admitted.request()
+                .prompt()
+                .map(gateway.quarantine()::decide)
+                .orElseGet(QuarantineDecision.Unsuspected::new);
+    }
+
+    /**
+     * Chooses the server for the next attempt; empty if no server outside the given ids can run the request.
+     *
+     * @param attemptedServers the ids of servers that are not chosen
+     * @param suspected whether the server may end under the request, so that one with few other requests is better
+     */
+    Optional<ServerState> chooseServer(Set<String> attemptedServers, boolean suspected) {
+        ServerQuery query = query(attemptedServers, suspected);
+        return gateway.chooser().choose(gateway.state().directory(), query, System.nanoTime());
     }
 
     /** Returns whether the request should be refused, because every engine has more work than it finishes in time. */
     boolean isOverloaded() {
-        return gateway.chooser().isOverloaded(gateway.state().directory(), query(Set.of()), System.nanoTime());
+        return gateway.chooser().isOverloaded(gateway.state().directory(), query(Set.of(), false), System.nanoTime());
     }
 
     /** Logs the least load of any engine that could run the request; a refusal for overload is based on it. */
@@ -82,7 +100,7 @@
         return admitted.request()
                 .prompt()
                 .filter(prompt -> backupUseful)
-                .flatMap(prompt -> chooseServer(attemptedServers)
+                .flatMap(prompt -> chooseServer(attemptedServers, false)
                         .filter(other -> other.server()
                                 .failureDomain()
                                 .equals(server.server().failureDomain()))
@@ -99,7 +117,7 @@
                 .isPresent();
     }
 
-    private ServerQuery query(Set<String> attemptedServers) {
+    private ServerQuery query(Set<String> attemptedServers, boolean suspected) {
         Optional<PromptSpec> prompt = admitted.request().prompt();
         int newest =
                 prompt.map(spec -> gateway.state().newestWeights(spec.model())).orElse(0);
@@ -115,7 +133,8 @@
                         .orElse(OptionalLong.empty()),
                 admitted.route().latencyObjective(),
                 scoped.filter(this::isFetchable).isPresent(),
-                attemptedServers);
+                attemptedServers,
+                suspected);
     }
 
     private ScopedPrompt scopedPrompt(PromptSpec prompt, int weights) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -18,6 +18,7 @@
 import org.geraniumford.core.forward.AttemptFailure;
 import org.geraniumford.core.forward.ForwardMachine;
 import org.geraniumford.core.forward.NextStep;
+import org.geraniumford.core.quarantine.QuarantineDecision;
 import org.geraniumford.core.service.RouteKind;
 import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
@@ -137,7 +138,13 @@
             handleDeadlineExpired();
             return;
         }
-        Optional<ServerState> chosen = planner.chooseServer(attemptedServers);
+        QuarantineDecision decision = decide();
+        if (decision instanceof QuarantineDecision.Held held) {
+            handleHeld(held);
+            return;
+        }
+        boolean suspected = decision instanceof QuarantineDecision.Suspected;
+        Optional<ServerState> chosen = planner.chooseServer(attemptedServers, suspected);
         if (chosen.isEmpty()) {
             handleNoServer();
             return;
@@ -169,6 +176,26 @@
         attempt.start();
     }
 
+    /** Returns whether an attempt may begin. A prompt is not suspect once its response has begun. */
+    private QuarantineDecision decide() {
+        return machine.responseStarted() ? new QuarantineDecision.Unsuspected() : planner.decide();
+    }
+
+    private void handleHeld(QuarantineDecision.Held held) {
+        LogEvent.of("held")
+                .with("request", admitted.request().id())
+                .with("segment", Long.toHexString(held.segment()))
+                .with("ends", held.count())
+                .with("retry_ms", held.retryAfter().toMillis())
+                .info();
+        if (machine.mayHaveRun()) {
+            refuse(Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "the server failed"));
+        } else {
+            refuse(Refusal.notRun(Reason.SEGMENT_QUARANTINED, "engines ended under a segment of the prompt")
+                    .withRetryAfter(held.retryAfter()));
+        }
+    }
+
     AttemptPrompt beginPrompt() {
         return AttemptPrompt.begin(gateway.quarantine(), admitted, machine.responseStarted());
     }
@@ -205,9 +232,9 @@
 
     void handleAttemptEnd(Attempt ended, AttemptFailure failure, Reason reason) {
         attempt = null;
-        boolean hasTimeLeft = timeLeft().compareTo(MIN_ATTEMPT_TIME) > 0;
+        boolean mayRetry = timeLeft().compareTo(MIN_ATTEMPT_TIME) > 0 && !(decide() instanceof QuarantineDecision.Held);
         NextStep step =
-                machine.handleAttemptFailure(failure, hasTimeLeft, () -> gateway.tryAcquireRetry(admitted.service()));
+                machine.handleAttemptFailure(failure, mayRetry, () -> gateway.tryAcquireRetry(admitted.service()));
         LogEvent.of("attempt_ended")
                 .with("request", admitted.request().id())
                 .with("server", ended.server().server().id())
