--- a/core/src/main/java/org/geraniumford/core/time/SharedClock.java
+++ b/core/src/main/java/org/geraniumford/core/time/SharedClock.java
@@ -2,19 +2,29 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.function.LongSupplier;
 
 /**
  * An estimate of a monotonic clock that all processes can read, advanced by the local monotonic clock between readings.
  * The local clock stands still while its host is suspended, and the next reading corrects that. A reading may have been
- * on its way for any time, so it is a lower limit, and the largest estimate counts. The estimate is never ahead of the
- * shared clock by more than the drift between the two clocks. Not thread-safe.
+ * on its way for any time, so it is a lower limit, and the largest estimate of the last readings counts. The estimate
+ * is never ahead of the shared clock by more than the drift between the two clocks in twice {@link #WINDOW}. Not
+ * thread-safe.
  */
 public final class SharedClock {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** Readings count for at least this time, and are forgotten after twice this time once there are newer ones. */
+    private static final Duration WINDOW = Duration.ofSeconds(30);
+
     private final LongSupplier localNanos;
+
+    /** The largest offsets from the local to the shared clock in this window and in the one before. */
     private long offsetNanos;
+
+    private long previousOffsetNanos;
+    private long windowStartNanos;
     private boolean known;
 
     private SharedClock(LongSupplier localNanos) {
@@ -50,7 +60,7 @@
      * @return the time in nanoseconds
      */
     public long nanos() {
-        return localNanos.getAsLong() + offsetNanos;
+        return localNanos.getAsLong() + Math.max(offsetNanos, previousOffsetNanos);
     }
 
     /**
@@ -71,12 +81,23 @@
      * @return by how many milliseconds the estimate was behind; 0 if it was not, or for the first reading
      */
     public long observe(long sharedMillis) {
-        long observedOffsetNanos = sharedMillis * NANOS_PER_MILLI - localNanos.getAsLong();
-        long behindNanos = known ? Math.max(0, observedOffsetNanos - offsetNanos) : 0;
-        if (!known || behindNanos > 0) {
-            offsetNanos = observedOffsetNanos;
-            known = true;
+        long nowNanos = localNanos.getAsLong();
+        long observedOffsetNanos = sharedMillis * NANOS_PER_MILLI - nowNanos;
+        long behindNanos = known ? Math.max(0, observedOffsetNanos + nowNanos - nanos()) : 0;
+        if (!known) {
+            previousOffsetNanos = observedOffsetNanos;
+            startWindow(observedOffsetNanos, nowNanos);
+        } else if (nowNanos - windowStartNanos > WINDOW.toNanos()) {
+            previousOffsetNanos = offsetNanos;
+            startWindow(observedOffsetNanos, nowNanos);
         }
+        offsetNanos = Math.max(offsetNanos, observedOffsetNanos);
+        known = true;
         return behindNanos / NANOS_PER_MILLI;
     }
+
+    private void startWindow(long observedOffsetNanos, long nowNanos) {
+        offsetNanos = observedOffsetNanos;
+        windowStartNanos = nowNanos;
+    }
 }
--- a/core/src/main/java/org/geraniumford/core/weights/PublishedWeights.java
+++ b/core/src/main/java/org/geraniumford/core/weights/PublishedWeights.java
@@ -9,8 +9,8 @@
  *
  * @param model the name of the model
  * @param version the version
- * @param publishedMillis when the version was published at the earliest, or first found if its publication was not
- *     observed, in milliseconds of the shared clock
+ * @param publishedMillis a time after which the version was published, or the time when it was first found if its
+ *     publication was not observed, in milliseconds of the shared clock
  * @param ageMillis how many milliseconds before the announcement that was
  * @param publicationObserved true if the version was published while the entry followed the store; false if it existed
  *     already when the entry started
--- a/core/src/test/java/org/geraniumford/core/time/SharedClockTest.java
+++ b/core/src/test/java/org/geraniumford/core/time/SharedClockTest.java
@@ -26,6 +26,17 @@
         assertThat(clock.millis()).isEqualTo(14_000);
     }
 
+    /** Guards against an estimate that runs ahead without limit, because the local clock is the faster one. */
+    @Test
+    void shouldForgetALargerEstimateWhenLaterReadingsAreSmaller() {
+        clock.observe(10_000);
+        for (int i = 0; i < 20; i++) {
+            localMillis += 10_100;
+            clock.observe(10_000 + 10_000L * (i + 1));
+        }
+        assertThat(clock.millis()).isBetween(210_000L, 211_000L);
+    }
+
     /** Guards against ages that shrink by the time for which the host was suspended. */
     @Test
     void shouldAdvanceByTheTimeOfASuspensionWhenItIsReadAgain() {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -270,7 +270,10 @@
      * @param source where the version was read, for the log: the store or a peer
      */
     public void recordPublishedWeights(PublishedWeights published, String source) {
-        observeSharedClock(published.publishedMillis() + published.ageMillis());
+        if (!clock.isKnown()) {
+            // Only readings of the clock itself count afterwards, so that no error goes from entry to entry.
+            observeSharedClock(published.publishedMillis() + published.ageMillis());
+        }
         WeightsHistory history = weightsHistories.computeIfAbsent(published.model(), model -> WeightsHistory.empty());
         if (published.version() > history.newest()) {
             LogEvent.of("weights_named")
