RetryPolicyTest lists the reason segment_quarantined

Cause: the test names the reasons after which a request is not retried, and failed for the new one. Change: the reason is in the list; the check is as strict.

--- a/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
@@ -40,6 +40,7 @@
             Reason.NO_CONFIGURATION,
             Reason.STORE_UNAVAILABLE,
             Reason.RETRY_BUDGET_SPENT,
+            Reason.SEGMENT_QUARANTINED,
             Reason.TOKEN_USED,
             Reason.CALLER_GONE,
             Reason.SLOW_READER,
