PlatformClientContractTest: the port on which nothing listens stays bound

Change: the test binds a socket that never listens, so that the system refuses connections and gives the port to nobody else; what it asserts is the same.

--- a/stand-ins/src/test/java/org/geraniumford/standins/platform/PlatformClientContractTest.java
+++ b/stand-ins/src/test/java/org/geraniumford/standins/platform/PlatformClientContractTest.java
@@ -4,6 +4,9 @@
 import static org.assertj.core.api.Assertions.catchThrowable;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
@@ -118,12 +121,17 @@
         }
     }
 
+    /** The port stays bound but does not listen, so that no other process can take it while the test runs. */
     @Test
-    void shouldReturnNotRunWhenNothingListens() {
-        platform.close();
-        Refusal refusal = refusal(client.transact(List.of(TableOperation.insert("t", "a", "x"))));
-        assertThat(refusal.reason()).isEqualTo(Reason.STORE_UNAVAILABLE);
-        assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+    void shouldReturnNotRunWhenNothingListens() throws IOException {
+        try (Socket boundSocket = new Socket()) {
+            boundSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            URI uri = URI.create("http://127.0.0.1:" + boundSocket.getLocalPort());
+            Refusal refusal =
+                    refusal(PlatformClient.of(uri, http).transact(List.of(TableOperation.insert("t", "a", "x"))));
+            assertThat(refusal.reason()).isEqualTo(Reason.STORE_UNAVAILABLE);
+            assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+        }
     }
 
     @Test
