ProcessFailureTest: a host that was listed as leaving is live everywhere before the next case

Cause: the clean-up of the case of a leaving host put the host back and did not wait until the daemons had read the list. Change: the clean-up waits until each entry and sidecar lists the host as live, read over the link as a starting entry reads it, and until each entry sends the host a prompt that no cache holds. What the cases assert is the same.

--- a/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
+++ b/trials/src/test/java/org/geraniumford/trials/deployment/ProcessFailureTest.java
@@ -14,8 +14,13 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.geraniumford.core.membership.Host;
+import org.geraniumford.core.membership.HostState;
 import org.geraniumford.trials.caller.Caller;
 import org.geraniumford.trials.caller.ModelResponse;
 import org.junit.jupiter.api.AfterAll;
@@ -30,8 +35,9 @@
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 final class ProcessFailureTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
-    private static final Path CONFIGURATION = Path.of("..", "examples", "configuration");
     private static final List<String> ENGINE_OPTIONS = List.of("--prefill-micros", "10", "--decode-micros", "10000");
+    private static final DeploymentPlan PLAN =
+            SmallDeployment.plan(Path.of("..", "examples", "configuration"), ENGINE_OPTIONS);
     private static final int MAX_TOKENS = 100;
     private static final int OK = 200;
     private static final HttpClient CLIENT = HttpClient.newHttpClient();
@@ -40,7 +46,7 @@
 
     @BeforeAll
     void start(@TempDir Path folder) throws IOException {
-        deployment = Deployment.start(SmallDeployment.plan(CONFIGURATION, ENGINE_OPTIONS), folder);
+        deployment = Deployment.start(PLAN, folder);
     }
 
     @AfterAll
@@ -195,6 +201,7 @@
             assertThat(send(0, prompt).backend()).isNotEqualTo(runner);
         } finally {
             deployment.platformAdmin().putHost(runner, "runner", link, "kigali-a", "live");
+            awaitLive(runner);
         }
     }
 
@@ -224,6 +231,41 @@
                 .statusCode();
     }
 
+    /** Waits until every daemon lists the host as live and each entry sends it requests that are new to all caches. */
+    private void awaitLive(String runner) {
+        try (HostListReader reader = new HostListReader()) {
+            daemonLinks().forEach(link -> await(() -> isListedLive(reader.hosts(link), runner)));
+        }
+        for (int entry = 0; entry < PLAN.entryCount(); entry++) {
+            awaitNewWork(entry, runner);
+        }
+    }
+
+    private void awaitNewWork(int entry, String runner) {
+        AtomicInteger number = new AtomicInteger();
+        await(() -> {
+            List<String> prompt = prompt("new to entry " + entry + ", number " + number.incrementAndGet());
+            return send(entry, prompt).backend().equals(runner);
+        });
+    }
+
+    private static boolean isListedLive(List<Host> hosts, String name) {
+        return hosts.stream().anyMatch(host -> host.name().equals(name) && host.state() == HostState.LIVE);
+    }
+
+    /** Returns the link addresses of all entries and sidecars. */
+    private List<String> daemonLinks() {
+        Stream<DeploymentProcess> entries =
+                IntStream.range(0, PLAN.entryCount()).mapToObj(deployment::entry);
+        Stream<DeploymentProcess> sidecars = Stream.concat(
+                        PLAN.runners().stream().map(RunnerPlan::name),
+                        PLAN.services().stream().map(service -> service + "-host"))
+                .map(deployment::process);
+        return Stream.concat(entries, sidecars)
+                .map(process -> process.address("link"))
+                .toList();
+    }
+
     /** Sends the prompt until a response is whole, and returns that response. */
     private ModelResponse sendUntilComplete(int entry, List<String> prompt) {
         AtomicReference<ModelResponse> response = new AtomicReference<>();
