--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -0,0 +1,108 @@
+package org.geraniumford.daemon.weights;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.RolloutCandidate;
+import org.geraniumford.core.weights.RolloutPlan;
+import org.geraniumford.core.weights.WeightsLease;
+import org.geraniumford.daemon.gateway.GatewayState;
+
+/** Determines which servers have outdated weights and which of them are ordered next. Changes nothing. */
+final class OrderPlanner {
+    private final String host;
+    private final GatewayState state;
+    private final Duration orderSpacing;
+    private final Duration maxStaleness;
+
+    /**
+     * Creates a planner.
+     *
+     * @param host the name of this host, the holder in the planned intents
+     * @param state the servers and the published weights
+     * @param orderSpacing the minimum time between an intent of another holder and one of this host for the same server
+     * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
+     */
+    OrderPlanner(String host, GatewayState state, Duration orderSpacing, Duration maxStaleness) {
+        this.host = host;
+        this.state = state;
+        this.orderSpacing = orderSpacing;
+        this.maxStaleness = maxStaleness;
+    }
+
+    // -- queries
+
+    /** Returns whether a server that is not leaving has older weights than the published ones. */
+    boolean hasOutdatedServers() {
+        return state.publishedWeights().entrySet().stream()
+                .anyMatch(entry -> modelServers(entry.getKey()).stream()
+                        .filter(server -> !server.server().leaving())
+                        .anyMatch(server -> isOutdated(server, entry.getKey(), entry.getValue())));
+    }
+
+    /**
+     * Returns the intents of the orders to issue next, for all models.
+     *
+     * @param lease the lease as last known, with the intents of earlier orders
+     * @param pendingServers the ids of the servers with an order of this host that has not ended
+     * @param loadTime how long one server takes to drain and load
+     * @param storeNowMillis the current time, in milliseconds on the store's clock
+     */
+    List<OrderIntent> planOrders(
+            WeightsLease lease, Set<String> pendingServers, Duration loadTime, long storeNowMillis) {
+        return state.publishedWeights().entrySet().stream()
+                .flatMap(entry ->
+                        planModelOrders(
+                                entry.getKey(), entry.getValue(), lease, pendingServers, loadTime, storeNowMillis)
+                                .stream())
+                .toList();
+    }
+
+    private List<OrderIntent> planModelOrders(
+            String model,
+            int version,
+            WeightsLease lease,
+            Set<String> pendingServers,
+            Duration loadTime,
+            long storeNowMillis) {
+        List<ServerState> servers = modelServers(model);
+        List<RolloutCandidate> candidates = servers.stream()
+                .filter(server -> !server.server().leaving())
+                .filter(server -> isOutdated(server, model, version))
+                .filter(server -> !pendingServers.contains(server.server().id()))
+                .filter(server ->
+                        !server.reachability().isSuspended(System.nanoTime()) && !server.isLoading(System.nanoTime()))
+                .filter(server -> lease.canOrder(server.server().id(), host, storeNowMillis, orderSpacing))
+                .map(server -> candidate(server, model))
+                .toList();
+        List<String> loadingDomains = servers.stream()
+                .filter(server -> pendingServers.contains(server.server().id()) || server.isLoading(System.nanoTime()))
+                .map(server -> server.server().failureDomain())
+                .toList();
+        return RolloutPlan.selectServers(candidates, loadingDomains, servers.size(), loadTime).stream()
+                .map(candidate -> new OrderIntent(candidate.server(), model, version, host, storeNowMillis, false))
+                .toList();
+    }
+
+    private RolloutCandidate candidate(ServerState server, String model) {
+        int loadedVersion = server.weightsVersion(model).orElse(0);
+        return new RolloutCandidate(
+                server.server().id(),
+                server.server().failureDomain(),
+                loadedVersion,
+                server.totalLoad().running(),
+                state.weightsTimeLeft(model, loadedVersion, maxStaleness));
+    }
+
+    private static boolean isOutdated(ServerState server, String model, int version) {
+        return server.weightsVersion(model).orElse(0) < version;
+    }
+
+    private List<ServerState> modelServers(String model) {
+        return state.directory().all().stream()
+                .filter(server -> server.hasModel(model))
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -0,0 +1,111 @@
+package org.geraniumford.daemon.weights;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.daemon.gateway.GatewayState;
+
+/** The orders of this host that have not ended, and the completed intents that are not in the lease's row yet. */
+final class PendingOrders {
+    /** The time that a server is assumed to take to drain and load until one has done so. */
+    private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
+
+    /** The weight of the newest order in the moving average of the time to drain and load, from 0 to 1. */
+    private static final double LOAD_TIME_SMOOTHING = 0.2;
+
+    private final GatewayState state;
+    private final LeaseStore leaseStore;
+    private final EngineAdmin engines;
+    private final BooleanSupplier leaseHeld;
+    private final Map<String, PendingOrder> orders = new HashMap<>();
+    private final List<OrderIntent> completedIntents = new ArrayList<>();
+
+    /** A moving average of the time from the intent of an order to its completion. */
+    private double loadTimeMillis = INITIAL_LOAD_TIME.toMillis();
+
+    /**
+     * Creates an empty set of orders.
+     *
+     * @param state the servers
+     * @param leaseStore the clock of the intents
+     * @param engines the client that sends orders to engines
+     * @param leaseHeld returns whether this host holds the lease
+     */
+    PendingOrders(GatewayState state, LeaseStore leaseStore, EngineAdmin engines, BooleanSupplier leaseHeld) {
+        this.state = state;
+        this.leaseStore = leaseStore;
+        this.engines = engines;
+        this.leaseHeld = leaseHeld;
+    }
+
+    // -- queries
+
+    /** Returns the ids of the servers with an order that has not ended; one that ended counts until the next poll. */
+    Set<String> servers() {
+        return Set.copyOf(orders.keySet());
+    }
+
+    /** Returns the completed intents that were not dropped yet, oldest first. */
+    List<OrderIntent> completedIntents() {
+        return List.copyOf(completedIntents);
+    }
+
+    /** Returns the intents of the pending orders, so that other entries go on avoiding engines that drain for long. */
+    List<OrderIntent> renewedIntents(long storeNowMillis) {
+        return orders.values().stream()
+                .filter(order -> !order.isFinished())
+                .map(order -> order.intent().renewedAt(storeNowMillis))
+                .toList();
+    }
+
+    /** Returns how long one server takes to drain and load, a moving average. */
+    Duration loadTime() {
+        return Duration.ofMillis(Math.round(loadTimeMillis));
+    }
+
+    // -- commands
+
+    /**
+     * Issues an order to its server if the server is known.
+     *
+     * @param intent the intent as it was written into the lease
+     * @param fencingToken the fencing token of the lease
+     * @param writeStartNanos when the write of the intent began, from {@link System#nanoTime}
+     */
+    void issue(OrderIntent intent, long fencingToken, long writeStartNanos) {
+        state.directory().find(intent.server()).ifPresent(server -> {
+            PendingOrder order = new PendingOrder(
+                    server, intent, fencingToken, writeStartNanos, engines, leaseHeld, this::recordLoaded);
+            orders.put(intent.server(), order);
+            order.start();
+        });
+    }
+
+    private void recordLoaded(OrderIntent intent) {
+        completedIntents.add(intent);
+        long elapsedMillis = Math.max(0, leaseStore.nowMillis() - intent.recordedMillis());
+        loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
+    }
+
+    /** Drops the orders that have ended and polls the others. */
+    void poll() {
+        orders.values().removeIf(PendingOrder::isFinished);
+        orders.values().forEach(PendingOrder::poll);
+    }
+
+    /** Drops the oldest completed intents, which are in the row now; fewer if there are not as many. */
+    void dropCompleted(int count) {
+        completedIntents.subList(0, Math.min(count, completedIntents.size())).clear();
+    }
+
+    /** Drops all orders and completed intents, because another host holds the lease. */
+    void clear() {
+        orders.clear();
+        completedIntents.clear();
+    }
+}
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -4,16 +4,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
-import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.OrderIntent;
-import org.geraniumford.core.weights.RolloutCandidate;
-import org.geraniumford.core.weights.RolloutPlan;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
 import org.geraniumford.transport.log.LogEvent;
@@ -44,19 +39,12 @@
      */
     private static final Duration WRITE_BACKOFF = Duration.ofSeconds(1);
 
-    /** The time that a server is assumed to take to drain and load until one has done so. */
-    private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
-
-    /** The weight of the newest order in the moving average of the time to drain and load, from 0 to 1. */
-    private static final double LOAD_TIME_SMOOTHING = 0.2;
-
     /** The minimum time between two writes of the row. */
     private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
 
     private final String host;
     private final GatewayState state;
     private final LeaseStore leaseStore;
-    private final EngineAdmin engines;
     /**
      * The minimum time between an intent of another holder and an intent of this one for the same server. It is longer
      * than the handover delay, because the earlier order may be issued until the end of its issue window. Includes a
@@ -64,22 +52,15 @@
      */
     private final Duration orderSpacing;
 
-    /** How long after the publication of newer weights requests are sent to servers with older ones. */
-    private final Duration maxStaleness;
-
+    private final OrderPlanner planner;
+    private final PendingOrders pendingOrders;
     private final RandomGenerator random;
-    private final Map<String, PendingOrder> pendingOrders = new HashMap<>();
-    /** The completed intents that have not been written into the row yet. */
-    private final List<OrderIntent> completedIntents = new ArrayList<>();
 
     private WeightsLease lease = WeightsLease.empty();
     private long rowVersion;
     /** Whether the row was read after this host last decided to take over the lease. */
     private boolean rowRead;
 
-    /** A moving average of the time from the intent of an order to its completion. */
-    private double loadTimeMillis = INITIAL_LOAD_TIME.toMillis();
-
     private boolean storeCallPending;
     private boolean stopped;
     /** When this host may take over the lease, from {@link System#nanoTime}, if a takeover is pending. */
@@ -103,9 +84,9 @@
         this.host = host;
         this.state = state;
         this.leaseStore = leaseStore;
-        this.engines = engines;
         this.orderSpacing = leaseHandoverDelay.plus(PendingOrder.ISSUE_WINDOW).plusMillis(500);
-        this.maxStaleness = maxStaleness;
+        this.planner = new OrderPlanner(host, state, orderSpacing, maxStaleness);
+        this.pendingOrders = new PendingOrders(state, leaseStore, engines, this::holdsLease);
         this.random = random;
     }
 
@@ -160,7 +141,6 @@
         rowVersion = newRowVersion;
         if (!newLease.holder().equals(host)) {
             pendingOrders.clear();
-            completedIntents.clear();
         }
         newLease.intents().forEach(this::applyIntent);
     }
@@ -196,6 +176,10 @@
         return current ? new LeaseSnapshot(rowVersion, lease.encode()) : LeaseSnapshot.empty();
     }
 
+    private boolean holdsLease() {
+        return lease.holder().equals(host);
+    }
+
     // -- commands
 
     /**
@@ -204,7 +188,7 @@
      */
     public void stop() {
         stopped = true;
-        if (lease.holder().equals(host) && !outdatedServers().isEmpty()) {
+        if (holdsLease() && planner.hasOutdatedServers()) {
             leaseStore
                     .write(rowVersion, lease.released())
                     .whenComplete((newRowVersion, failure) -> LogEvent.of("lease_released")
@@ -218,11 +202,12 @@
         if (stopped) {
             return;
         }
-        pendingOrders.values().removeIf(PendingOrder::isFinished);
-        pendingOrders.values().forEach(PendingOrder::poll);
-        if (!storeCallPending && (!outdatedServers().isEmpty() || !completedIntents.isEmpty())) {
+        pendingOrders.poll();
+        boolean hasOutdatedServers = planner.hasOutdatedServers();
+        boolean hasCompletedIntents = !pendingOrders.completedIntents().isEmpty();
+        if (!storeCallPending && (hasOutdatedServers || hasCompletedIntents)) {
             reconcile();
-        } else if (outdatedServers().isEmpty()) {
+        } else if (!hasOutdatedServers) {
             takeoverPending = false;
         }
     }
@@ -233,7 +218,7 @@
      */
     private void reconcile() {
         long nowNanos = System.nanoTime();
-        boolean holdsLease = lease.holder().equals(host);
+        boolean holdsLease = holdsLease();
         if (!holdsLease && lease.isFresh(leaseStore.nowMillis(), LEASE_TIMEOUT) && state.isPeerAlive(lease.holder())) {
             takeoverPending = false;
             return;
@@ -269,21 +254,18 @@
 
     private void writeIntents(long nowNanos) {
         long storeNowMillis = leaseStore.nowMillis();
-        List<OrderIntent> orders = state.publishedWeights().entrySet().stream()
-                .flatMap(entry -> planOrders(entry.getKey(), entry.getValue(), storeNowMillis).stream())
-                .toList();
+        List<OrderIntent> orders =
+                planner.planOrders(lease, pendingOrders.servers(), pendingOrders.loadTime(), storeNowMillis);
+        List<OrderIntent> completedIntents = pendingOrders.completedIntents();
         boolean renewalDue = storeNowMillis - lease.renewedMillis() > RENEWAL_INTERVAL.toMillis();
-        if (completedIntents.isEmpty()
-                && orders.isEmpty()
-                && !(renewalDue && lease.holder().equals(host))) {
+        if (completedIntents.isEmpty() && orders.isEmpty() && !(renewalDue && holdsLease())) {
             return;
         }
         List<OrderIntent> intents = new ArrayList<>(completedIntents);
-        intents.addAll(renewedIntents(storeNowMillis));
+        intents.addAll(pendingOrders.renewedIntents(storeNowMillis));
         intents.addAll(orders);
         WeightsLease renewedLease =
                 lease.renewedBy(host, storeNowMillis, intents, orderSpacing.plus(ESTIMATED_LOADING_TIME));
-        int completedCount = completedIntents.size();
         storeCallPending = true;
         lastWriteNanos = nowNanos;
         leaseStore.write(rowVersion, renewedLease).whenComplete((newRowVersion, failure) -> {
@@ -298,22 +280,12 @@
                 takeoverPending = false;
                 readRow();
             } else {
-                completedIntents
-                        .subList(0, Math.min(completedCount, completedIntents.size()))
-                        .clear();
+                pendingOrders.dropCompleted(completedIntents.size());
                 issueOrders(renewedLease, newRowVersion, orders, nowNanos);
             }
         });
     }
 
-    /** Returns the intents of the pending orders, so that other entries go on avoiding engines that drain for long. */
-    private List<OrderIntent> renewedIntents(long storeNowMillis) {
-        return pendingOrders.values().stream()
-                .filter(order -> !order.isFinished())
-                .map(order -> order.intent().renewedAt(storeNowMillis))
-                .toList();
-    }
-
     private void issueOrders(
             WeightsLease renewedLease, OptionalLong newRowVersion, List<OrderIntent> orders, long writeStartNanos) {
         adoptLease(renewedLease, newRowVersion.getAsLong());
@@ -321,67 +293,6 @@
                 .with("fence", renewedLease.fencingToken())
                 .with("orders", orders.size())
                 .info();
-        orders.forEach(order -> state.directory().find(order.server()).ifPresent(server -> {
-            PendingOrder pendingOrder = new PendingOrder(
-                    server,
-                    order,
-                    renewedLease.fencingToken(),
-                    writeStartNanos,
-                    engines,
-                    () -> lease.holder().equals(host),
-                    this::recordLoaded);
-            pendingOrders.put(order.server(), pendingOrder);
-            pendingOrder.start();
-        }));
-    }
-
-    private void recordLoaded(OrderIntent intent) {
-        completedIntents.add(intent);
-        long elapsedMillis = Math.max(0, leaseStore.nowMillis() - intent.recordedMillis());
-        loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
-    }
-
-    // -- planning
-
-    private List<ServerState> outdatedServers() {
-        return state.publishedWeights().entrySet().stream()
-                .flatMap(entry -> modelServers(entry.getKey()).stream()
-                        .filter(server -> server.weightsVersion(entry.getKey()).orElse(0) < entry.getValue()))
-                .filter(server -> !server.server().leaving())
-                .toList();
-    }
-
-    private List<ServerState> modelServers(String model) {
-        return state.directory().all().stream()
-                .filter(server -> server.hasModel(model))
-                .toList();
-    }
-
-    private List<OrderIntent> planOrders(String model, int version, long storeNowMillis) {
-        List<ServerState> servers = modelServers(model);
-        List<RolloutCandidate> candidates = servers.stream()
-                .filter(server -> !server.server().leaving())
-                .filter(server -> server.weightsVersion(model).orElse(0) < version)
-                .filter(server -> !pendingOrders.containsKey(server.server().id()))
-                .filter(server ->
-                        !server.reachability().isSuspended(System.nanoTime()) && !server.isLoading(System.nanoTime()))
-                .filter(server -> lease.canOrder(server.server().id(), host, storeNowMillis, orderSpacing))
-                .map(server -> new RolloutCandidate(
-                        server.server().id(),
-                        server.server().failureDomain(),
-                        server.weightsVersion(model).orElse(0),
-                        server.totalLoad().running(),
-                        state.weightsTimeLeft(
-                                model, server.weightsVersion(model).orElse(0), maxStaleness)))
-                .toList();
-        List<String> loadingDomains = servers.stream()
-                .filter(server ->
-                        pendingOrders.containsKey(server.server().id()) || server.isLoading(System.nanoTime()))
-                .map(server -> server.server().failureDomain())
-                .toList();
-        Duration loadTime = Duration.ofMillis(Math.round(loadTimeMillis));
-        return RolloutPlan.selectServers(candidates, loadingDomains, servers.size(), loadTime).stream()
-                .map(candidate -> new OrderIntent(candidate.server(), model, version, host, storeNowMillis, false))
-                .toList();
+        orders.forEach(order -> pendingOrders.issue(order, renewedLease.fencingToken(), writeStartNanos));
     }
 }
