SlicedExecutorTest waits for the last scheduled task

Cause: the test failed once in four runs beside other builds (the last 'other work' missing in the assertion, present in its message): a task handed to the loop may run before one that was scheduled earlier, so the test looked too soon. Change: it waits for a task that is scheduled after it; what it asserts is the same.

--- a/transport/src/test/java/org/geraniumford/transport/worker/SlicedExecutorTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/worker/SlicedExecutorTest.java
@@ -81,7 +81,8 @@
             }
         });
         awaitEmpty();
-        onLoop(() -> {});
+        // A scheduled task runs after the last other work, which was scheduled before it.
+        loop.schedule(() -> {}, 0, TimeUnit.MILLISECONDS).get();
         assertThat(ran).containsExactly("task", "other work", "task", "other work", "task", "other work");
     }
 
