--- a/review/harness/Entry.java
+++ b/review/harness/Entry.java
@@ -83,10 +83,6 @@
         return process.isAlive();
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     /** Asks for readiness as the platform does. */
     boolean isReady() {
         try (Socket socket = new Socket()) {
@@ -112,11 +108,6 @@
         return Files.readAllLines(output).stream().filter(line -> line.contains(text)).toList();
     }
 
-    /** Sends a signal, such as TERM or STOP. */
-    void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
-    }
-
     @Override
     public void close() {
         if (process != null) {
