--- a/review/harness/Deployment.java
+++ b/review/harness/Deployment.java
@@ -32,6 +32,11 @@
 
     /** Writes such a config with further routes, as JSON texts that begin with a comma. */
     void configure(int version, String furtherRoutes) {
+        configure(version, furtherRoutes, "\"" + KEY + "\"");
+    }
+
+    /** Writes such a config in which the tenant has the given keys, JSON texts with commas between them. */
+    void configure(int version, String furtherRoutes, String keys) {
         store.put("op", "config", """
                 {"version":%d,
                  "routes":[
@@ -48,8 +53,8 @@
                    "engine":{"slots":64,"kv_capacity_tokens":106560,"backups":true}}],
                  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
                   "idle_timeout_ms":15000},
-                 "tenants":[{"name":"tenant-a","api_keys":["key-a"],"priority":1,"isolated":false}]}
-                """.formatted(version, furtherRoutes));
+                 "tenants":[{"name":"tenant-a","api_keys":[%s],"priority":1,"isolated":false}]}
+                """.formatted(version, furtherRoutes, keys));
     }
 
     Runner runner(Runner runner, String service, int slots) {
