--- a/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
@@ -127,7 +127,10 @@
             loop.execute(() -> failureListener.accept(new IOException("not of the form IP:PORT: " + address)));
             return;
         }
-        ChannelFuture connecting = bootstrap(loop).handler(initializer(address)).connect(target.get());
+        ChannelFuture connecting = bootstrap(loop)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .handler(initializer(address))
+                .connect(target.get());
         // The listeners run after the current round of I/O: whoever has lost interest meanwhile is known then.
         connecting.addListener(done -> loop.execute(() -> {
             if (done.isSuccess()) {
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -47,6 +48,9 @@
     /** Whether the body of the response to the current request is being read. */
     private boolean receiving;
 
+    /** Whether only the end of the connection ends the response that is being read. */
+    private boolean closeDelimited;
+
     private boolean reusable = true;
 
     private RefusalHistory refusals = RefusalHistory.empty();
@@ -185,7 +189,8 @@
             return;
         }
         receiving = true;
-        reusable = reusable && HttpUtil.isKeepAlive(head) && hasDefinedLength(head);
+        closeDelimited = !hasDefinedLength(head);
+        reusable = reusable && HttpUtil.isKeepAlive(head) && !closeDelimited;
         updateKeepAlive(head);
         listener.head(head);
     }
@@ -209,7 +214,7 @@
         if (chunk.content().isReadable()) {
             listener.content(chunk.content());
         }
-        if (chunk instanceof LastHttpContent && listener != null) {
+        if (chunk instanceof LastHttpContent && listener != null && endsInOrder()) {
             receiving = false;
             finished = true;
             ResponseListener completed = listener;
@@ -218,6 +223,15 @@
         }
     }
 
+    /**
+     * Returns whether the end that the decoder reports is one that the server sent. The decoder also ends a response
+     * without a length when its connection is closed by a reset, a failed write or this process; only after the end of
+     * the server's bytes is the connection still active then, because half-closed connections are allowed.
+     */
+    private boolean endsInOrder() {
+        return !closeDelimited || channel.isActive();
+    }
+
     private void skip(HttpContent chunk) {
         skipping = !(chunk instanceof LastHttpContent);
         skippedBytes += chunk.content().readableBytes();
@@ -250,6 +264,14 @@
         }
     }
 
+    /** Closes the connection after the end of the server's bytes, which the decoder has handled before. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            channel.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof IOException) {
--- a/transport/src/test/java/org/geraniumford/transport/engine/BackendReadersTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/engine/BackendReadersTest.java
@@ -175,6 +175,16 @@
         assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
     }
 
+    /** The server closes with most of the request unread, which resets the connection while the client writes. */
+    @Test
+    void shouldFailACallWhoseResponseWithoutALengthIsResetWhileTheRequestIsWritten() throws Exception {
+        server = RawServer.sendingAndClosingLater(CLOSE_DELIMITED + "half");
+        Message.Call longCall = new Message.Call(
+                new AttemptId("id", 1), "token", 0, "POST", "/x", "text/plain", "b".repeat(4_000_000), 10_000_000);
+        Refusal refusal = refusalOf(ServiceClient.of(server.uri(), http).forward(longCall));
+        assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+    }
+
     @Test
     void shouldCloseTheConnectionOfACallWhoseResponseDoesNotEnd() throws Exception {
         server = RawServer.sendingWithoutEnd(CLOSE_DELIMITED, "x".repeat(8192));
--- a/transport/src/test/java/org/geraniumford/transport/engine/RawServer.java
+++ b/transport/src/test/java/org/geraniumford/transport/engine/RawServer.java
@@ -14,31 +14,41 @@
 final class RawServer implements AutoCloseable {
     private static final long MAX_WRITTEN_BYTES = 64L * 1024 * 1024;
     private static final int REQUEST_BUFFER_BYTES = 64 * 1024;
+    private static final long CLOSE_DELAY_MILLIS = 200;
 
     private final ServerSocket listener;
     private final String start;
     private final Optional<String> repeated;
+    /** The time from the last byte to the close of the connection. */
+    private final long closeDelayMillis;
+
     private final CompletableFuture<Long> written = new CompletableFuture<>();
 
-    private RawServer(ServerSocket listener, String start, Optional<String> repeated) {
+    private RawServer(ServerSocket listener, String start, Optional<String> repeated, long closeDelayMillis) {
         this.listener = listener;
         this.start = start;
         this.repeated = repeated;
+        this.closeDelayMillis = closeDelayMillis;
     }
 
     /** Starts a server that writes a text and closes the connection. */
     static RawServer sending(String text) throws IOException {
-        return start(text, Optional.empty());
+        return start(text, Optional.empty(), 0);
+    }
+
+    /** Starts a server that writes a text and closes the connection 200 ms later, after the client has read it. */
+    static RawServer sendingAndClosingLater(String text) throws IOException {
+        return start(text, Optional.empty(), CLOSE_DELAY_MILLIS);
     }
 
     /** Starts a server that writes a text, and then another one until the caller closes the connection. */
     static RawServer sendingWithoutEnd(String text, String repeated) throws IOException {
-        return start(text, Optional.of(repeated));
+        return start(text, Optional.of(repeated), 0);
     }
 
-    private static RawServer start(String text, Optional<String> repeated) throws IOException {
+    private static RawServer start(String text, Optional<String> repeated, long closeDelayMillis) throws IOException {
         ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        RawServer server = new RawServer(listener, text, repeated);
+        RawServer server = new RawServer(listener, text, repeated, closeDelayMillis);
         Thread thread = new Thread(server::serve, "raw-server");
         thread.setDaemon(true);
         thread.start();
@@ -63,7 +73,11 @@
             try (Socket socket = listener.accept()) {
                 if (socket.getInputStream().read(new byte[REQUEST_BUFFER_BYTES]) > 0) {
                     written.complete(respond(socket.getOutputStream()));
+                    Thread.sleep(closeDelayMillis);
                 }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
             } catch (IOException e) {
                 // The listener or the connection is closed.
             }
