--- a/core/src/main/java/org/geraniumford/core/stream/EventFramer.java
+++ b/core/src/main/java/org/geraniumford/core/stream/EventFramer.java
@@ -30,6 +30,10 @@
     private boolean anyField;
 
     private boolean anyEvent;
+
+    /** Whether an earlier attempt broke off within an event that has not arrived whole since. */
+    private boolean eventMissing;
+
     private boolean oversized;
 
     /** The identifier in the incomplete event; empty if there is none yet. */
@@ -95,13 +99,15 @@
 
     /**
      * Returns whether the stream is complete if it ends here. A stream that ends within an event has been broken off. A
-     * stream without any event is complete only if its server marked the end of it.
+     * stream without any event is complete only if its server marked the end of it, and if no earlier attempt broke off
+     * within an event, which is missing then.
      *
      * @param endMarked whether a length or a last chunk marked the end, rather than the end of the connection
      * @return true if the stream of the current attempt is complete
      */
     public boolean isCompleteAtEnd(boolean endMarked) {
-        return !hasPartialEvent() && !oversized && (endMarked || anyEvent);
+        boolean mayBeEmpty = endMarked && !eventMissing;
+        return !hasPartialEvent() && !oversized && (anyEvent || mayBeEmpty);
     }
 
     // -- commands
@@ -130,6 +136,7 @@
      * Whether its stream is complete is decided by what it sends itself.
      */
     public void discardPartialEvent() {
+        eventMissing = hasPartialEvent() || (eventMissing && !anyEvent);
         pendingLength = 0;
         lineStart = 0;
         afterCarriageReturn = false;
--- a/core/src/test/java/org/geraniumford/core/stream/EventFramerTest.java
+++ b/core/src/test/java/org/geraniumford/core/stream/EventFramerTest.java
@@ -69,6 +69,21 @@
 
     // -- the end of a stream
 
+    /** Guards against a resumed stream without events that hides the event within which the first one broke off. */
+    @Test
+    void shouldNotBeCompleteWithoutEventsWhenAnEarlierAttemptBrokeOffWithinAnEvent() {
+        EventFramer framer = EventFramer.empty();
+        framer.feed(bytes("id: 1\n\nid: 2\nda"));
+        framer.discardPartialEvent();
+        assertThat(framer.isCompleteAtEnd(true)).isFalse();
+        framer.discardPartialEvent();
+        assertThat(framer.isCompleteAtEnd(true)).isFalse();
+        framer.feed(bytes("id: 2\n\n"));
+        assertThat(framer.isCompleteAtEnd(true)).isTrue();
+        framer.discardPartialEvent();
+        assertThat(framer.isCompleteAtEnd(true)).isTrue();
+    }
+
     @Test
     void shouldNotBeCompleteWhenTheStreamEndsWithinAnEvent() {
         EventFramer framer = EventFramer.empty();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -181,6 +181,9 @@
                 .classify(response, request.admitted().request().id());
         if (kind.isRefusal()) {
             checkRefusal();
+        } else if (kind == ResponseKind.FORWARDABLE && !request.stream().mayContinueWith(response)) {
+            kind = ResponseKind.ERROR;
+            detail = response.status().code() + " in place of the rest of the stream";
         }
         if (kind != ResponseKind.MISDIRECTED) {
             applyLimit(response, kind == ResponseKind.FORWARDABLE);
@@ -265,7 +268,7 @@
     }
 
     private void checkStreamLimits() {
-        if (request.hasOversizedEvent()) {
+        if (request.stream().hasOversizedEvent()) {
             connection.abort();
             failed("an event exceeds " + EventFramer.MAX_EVENT_BYTES + " bytes");
         } else if (receivedBytes > ResponseLimits.MAX_STREAM_BYTES) {
@@ -328,9 +331,9 @@
     }
 
     private void complete() {
-        boolean withinEvent = isStreamResponse() && request.isWithinEvent();
+        boolean withinEvent = isStreamResponse() && request.stream().isWithinEvent();
         AttemptLog.responseEnd(request.admitted(), server, head, isEndMarked(), withinEvent);
-        if (isStreamResponse() && !request.isStreamCompleteAtEnd(isEndMarked())) {
+        if (isStreamResponse() && !request.stream().isCompleteAtEnd(isEndMarked())) {
             closed("the stream ends early");
             return;
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -1,8 +1,6 @@
 package org.geraniumford.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
@@ -19,7 +17,6 @@
 import org.geraniumford.core.forward.NextStep;
 import org.geraniumford.core.quarantine.QuarantineDecision;
 import org.geraniumford.core.service.RouteKind;
-import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
@@ -44,7 +41,7 @@
     private final AdmittedRequest admitted;
     private final ForwardMachine machine;
     private final DispatchPlanner planner;
-    private final EventFramer framer = EventFramer.empty();
+    private final StreamedResponse stream;
     private final Set<String> attemptedServers = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
     private Optional<ServerState> backupServer = Optional.empty();
@@ -62,6 +59,7 @@
         this.exchange = exchange;
         this.admitted = admitted;
         this.machine = ForwardMachine.of(admitted.route());
+        this.stream = StreamedResponse.of(gateway.protocol(), exchange);
         this.times = new ResponseTimes(gateway.metrics(), exchange.headReadNanos());
         this.planner = new DispatchPlanner(gateway, admitted, exchange.request());
     }
@@ -84,6 +82,10 @@
         return planner;
     }
 
+    StreamedResponse stream() {
+        return stream;
+    }
+
     /** Returns the time until the request's time limit is reached; negative afterwards. */
     Duration timeLeft() {
         return admitted.timeLimit().minusNanos(times.elapsedNanos());
@@ -161,8 +163,7 @@
     }
 
     private Dispatch planDispatch(ServerState server, Optional<String> resumeFrom) {
-        Optional<String> lastEventId = machine.responseStarted() ? framer.lastEventId() : Optional.empty();
-        return planner.planDispatch(server, timeLeft(), lastEventId, backupServer, resumeFrom);
+        return planner.planDispatch(server, timeLeft(), stream.lastEventId(), backupServer, resumeFrom);
     }
 
     private void startAttempt(ServerState server, Dispatch dispatch, long prefillTokens) {
@@ -241,12 +242,12 @@
         switch (step) {
             case TRY_ELSEWHERE, RESUME_ELSEWHERE -> {
                 gateway.metrics().countRetry(reason);
-                framer.discardPartialEvent();
+                stream.discardPartialEvent();
                 gateway.loop().execute(this::retry);
             }
             case CONTINUE_AT_COPY -> {
                 gateway.metrics().countRetry(reason);
-                framer.discardPartialEvent();
+                stream.discardPartialEvent();
                 resumeAtBackup(backupServer.orElseThrow());
             }
             case PASS_ERROR_ON -> forwardResponse(ended.takeFullResponse());
@@ -270,48 +271,26 @@
         return response;
     }
 
-    /**
-     * Forwards the events that a chunk completes, and returns whether it completes any. An incomplete event is never
-     * forwarded, because the server may break the stream off within it.
-     */
+    /** Forwards the events that a chunk completes, and returns whether it completes any. */
     boolean forwardStreamChunk(HttpResponse head, ByteBuf chunk) {
-        byte[] events = framer.feed(ByteBufUtil.getBytes(chunk));
-        if (events.length == 0) {
+        if (!stream.forward(head, chunk)) {
             return false;
         }
         if (!machine.responseStarted()) {
             machine.markResponseStarted();
             times.recordFirstBytes();
-            exchange.begin(gateway.protocol().forwardHead(head));
         }
-        exchange.writeContent(Unpooled.wrappedBuffer(events));
         if (!exchange.isWritable() && attempt != null) {
             attempt.setReading(false);
         }
         return true;
     }
 
-    boolean isWithinEvent() {
-        return framer.hasPartialEvent();
-    }
-
-    boolean hasOversizedEvent() {
-        return framer.isOversized();
-    }
-
-    /** Returns whether the stream of the current attempt is complete if it ends now. */
-    boolean isStreamCompleteAtEnd(boolean endMarked) {
-        return framer.isCompleteAtEnd(endMarked);
-    }
-
     void completeStream(HttpResponse head) {
         finish("streamed");
         times.recordEnd();
-        if (!machine.responseStarted()) {
-            machine.markResponseStarted();
-            exchange.begin(gateway.protocol().forwardHead(head));
-        }
-        exchange.end();
+        machine.markResponseStarted();
+        stream.end(head);
     }
 
     // -- completion
