A request that waits behind another on its connection is answered in a planned stop

What callers saw: two requests sent one behind the other on a kept connection; a stop came while the first was running; the connection was closed with the response to the first, and the second, read whole before, got nothing.

Cause: from the start of a stop each response closes its connection, whatever had been read behind the request.

Change: a response closes its connection because of a stop only if nothing is read behind its request. The next request is then served, or refused like any other late one, and its response closes the connection.

--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
@@ -64,8 +64,9 @@
 
     // -- queries
 
-    boolean isClosing() {
-        return server.isClosing();
+    /** Returns whether the server is closing; a request that is already read gets its own response first. */
+    boolean closesAfterResponse() {
+        return server.isClosing() && pendingMessages.isEmpty();
     }
 
     // -- commands
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
@@ -148,7 +148,7 @@
     }
 
     private void setConnectionHeader(HttpResponse response) {
-        closeAfter = closeAfter || connection.isClosing();
+        closeAfter = closeAfter || connection.closesAfterResponse();
         if (closeAfter) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
