--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -1,7 +1,6 @@
 package org.geraniumford.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -13,6 +12,7 @@
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
+import org.geraniumford.transport.forward.HeldBody;
 import org.geraniumford.transport.forward.ResponseLimits;
 import org.geraniumford.transport.forward.ResponseListener;
 import org.geraniumford.transport.forward.ServerConnection;
@@ -34,7 +34,7 @@
     private ResponseKind kind;
     private HttpResponse head;
     private long receivedBytes;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private final HeldBody body;
     /** A description of the failure for the log; empty if there is none. */
     private String detail = "";
 
@@ -47,6 +47,7 @@
         this.request = request;
         this.server = server;
         this.dispatch = dispatch;
+        this.body = request.gateway().responseMemory().newBody(this::handleEviction);
         this.weights = AttemptWeights.of(request.gateway(), request.admitted(), dispatch);
         this.totalTokens = request.admitted()
                 .request()
@@ -77,9 +78,7 @@
 
     /** Returns the buffered response, whose body is then no longer released by this attempt. */
     FullHttpResponse takeFullResponse() {
-        ByteBuf content = body;
-        body = Unpooled.EMPTY_BUFFER;
-        return request.fullResponse(head, content);
+        return request.fullResponse(head, body.take());
     }
 
     // -- commands
@@ -252,7 +251,7 @@
             checkStreamLimits();
         } else if (receivedBytes <= ResponseLimits.MAX_BUFFERED_BYTES) {
             recordPrefillEnd();
-            buffer(chunk);
+            body.append(chunk);
         } else {
             connection.abort();
             failed("the answer exceeds " + ResponseLimits.MAX_BUFFERED_BYTES + " bytes");
@@ -277,11 +276,10 @@
         }
     }
 
-    private void buffer(ByteBuf chunk) {
-        if (body.maxCapacity() == 0) {
-            body = Unpooled.buffer(chunk.readableBytes(), ResponseLimits.MAX_BUFFERED_BYTES);
-        }
-        body.writeBytes(chunk, chunk.readerIndex(), chunk.readableBytes());
+    /** Ends this attempt, because of all responses that are held its own is the largest and they are too large. */
+    private void handleEviction() {
+        connection.abort();
+        failed("evicted: the responses that are held are too large together");
     }
 
     private boolean isStreamResponse() {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -23,6 +23,7 @@
 import org.geraniumford.transport.forward.CallerExchange;
 import org.geraniumford.transport.forward.CallerHandler;
 import org.geraniumford.transport.forward.ConnectionPool;
+import org.geraniumford.transport.forward.ResponseMemory;
 import org.geraniumford.transport.log.LogEvent;
 import org.geraniumford.transport.worker.Guarded;
 
@@ -45,6 +46,7 @@
     private final GatewayMetrics metrics;
     private final PromptQuarantine quarantine;
     private final ConnectionPool pool;
+    private final ResponseMemory responseMemory;
     private final RandomGenerator random;
     private final ServerChooser chooser;
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
@@ -60,8 +62,10 @@
             GatewayLimits limits,
             GatewayMetrics metrics,
             PromptQuarantine quarantine,
+            ResponseMemory responseMemory,
             RandomGenerator random) {
         this.quarantine = quarantine;
+        this.responseMemory = responseMemory;
         this.loop = loop;
         this.state = state;
         this.protocol = protocol;
@@ -83,6 +87,7 @@
      * @param limits the limits that the deployment sets
      * @param metrics the counters and histograms to update
      * @param quarantine the prompt segments under which engines ended
+     * @param responseMemory the memory for responses that are held until they are complete
      * @param random the source of randomness for picking one of a route's services and breaking ties
      * @return a gateway that serves requests once the state is ready
      */
@@ -93,6 +98,7 @@
             GatewayLimits limits,
             GatewayMetrics metrics,
             PromptQuarantine quarantine,
+            ResponseMemory responseMemory,
             RandomGenerator random) {
         return new Gateway(
                 requireNonNull(loop, "loop is null"),
@@ -101,6 +107,7 @@
                 requireNonNull(limits, "limits is null"),
                 requireNonNull(metrics, "metrics is null"),
                 requireNonNull(quarantine, "quarantine is null"),
+                requireNonNull(responseMemory, "responseMemory is null"),
                 requireNonNull(random, "random is null"));
     }
 
@@ -293,6 +300,10 @@
         return pool;
     }
 
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     ServerChooser chooser() {
         return chooser;
     }
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
@@ -18,6 +18,7 @@
 import org.geraniumford.core.service.WeightedService;
 import org.geraniumford.core.time.SharedClock;
 import org.geraniumford.core.weights.PublishedWeights;
+import org.geraniumford.transport.forward.ResponseMemory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -37,6 +38,7 @@
             new GatewayLimits(0.2, Duration.ofSeconds(10), 100, MAX_STALENESS, Duration.ofSeconds(8)),
             GatewayMetrics.of(new SimpleMeterRegistry()),
             PromptQuarantine.of("host", new SimpleMeterRegistry()),
+            ResponseMemory.ofHeap(),
             new Random(1));
 
     @AfterEach
--- a/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -13,7 +14,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
@@ -25,9 +25,11 @@
 public final class PooledHttpClient {
     private final EventLoop loop;
     private final ConnectionPool pool;
+    private final ResponseMemory memory;
 
-    private PooledHttpClient(EventLoop loop) {
+    private PooledHttpClient(EventLoop loop, ResponseMemory memory) {
         this.loop = loop;
+        this.memory = memory;
         this.pool = ConnectionPool.of(loop);
     }
 
@@ -37,10 +39,11 @@
      * Creates a client without connections.
      *
      * @param loop the network thread on which calls are made and futures complete
+     * @param memory the memory for responses that are not complete yet
      * @return a new client
      */
-    public static PooledHttpClient of(EventLoop loop) {
-        return new PooledHttpClient(requireNonNull(loop, "loop is null"));
+    public static PooledHttpClient of(EventLoop loop, ResponseMemory memory) {
+        return new PooledHttpClient(requireNonNull(loop, "loop is null"), requireNonNull(memory, "memory is null"));
     }
 
     // -- commands
@@ -72,7 +75,7 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         }
-        Call call = new Call(request);
+        Call call = new Call(request, memory);
         call.timer = loop.schedule(call::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
         pool.acquire(address, call::connected, call::fail);
         return call.response;
@@ -86,13 +89,14 @@
     private static final class Call implements ResponseListener {
         private final FullHttpRequest request;
         private final CompletableFuture<BufferedHttpResponse> response = new CompletableFuture<>();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final HeldBody body;
         private ScheduledFuture<?> timer;
         private ServerConnection connection;
         private HttpResponse head;
 
-        Call(FullHttpRequest request) {
+        Call(FullHttpRequest request, ResponseMemory memory) {
             this.request = request;
+            this.body = memory.newBody(() -> abort("the responses that are held are too large together"));
         }
 
         void connected(ServerConnection opened) {
@@ -108,6 +112,7 @@
             if (timer != null) {
                 timer.cancel(false);
             }
+            body.release();
             response.completeExceptionally(cause);
         }
 
@@ -115,7 +120,7 @@
             if (connection != null) {
                 connection.abort();
             }
-            response.completeExceptionally(new TimeoutException("no answer in time"));
+            fail(new TimeoutException("no answer in time"));
         }
 
         @Override
@@ -131,19 +136,24 @@
         @Override
         public void content(ByteBuf chunk) {
             if (body.size() + chunk.readableBytes() > ResponseLimits.MAX_OWN_CALL_BYTES) {
-                connection.abort();
-                fail(new IOException("the answer is too large"));
-                return;
+                abort("the answer is too large");
+            } else {
+                body.append(chunk);
             }
-            byte[] bytes = new byte[chunk.readableBytes()];
-            chunk.getBytes(chunk.readerIndex(), bytes);
-            body.writeBytes(bytes);
+        }
+
+        private void abort(String reason) {
+            connection.abort();
+            fail(new IOException(reason));
         }
 
         @Override
         public void end() {
             timer.cancel(false);
-            response.complete(new BufferedHttpResponse(head.status().code(), head.headers(), body.toByteArray()));
+            ByteBuf whole = body.take();
+            byte[] bytes = ByteBufUtil.getBytes(whole);
+            whole.release();
+            response.complete(new BufferedHttpResponse(head.status().code(), head.headers(), bytes));
         }
 
         @Override
