A task that ends with an Error does not stop the tasks behind it

What callers would see: after an OutOfMemoryError in the handling of one request the entry reads requests and handles none of them any more.

Cause: SlicedExecutor.runSlice stayed marked as scheduled if a task threw an Error, which Guarded does not catch; no later task scheduled a slice.

Change: the next slice is scheduled in a finally block. The Error still goes to the network thread, which logs it.

SlicedExecutorTest shouldRunLaterTasksWhenOneEndsWithAnError failed before: its tasks never ran. The test's wait is bounded to 10 s now, the check unchanged.

--- a/transport/src/main/java/org/geraniumford/transport/worker/SlicedExecutor.java
+++ b/transport/src/main/java/org/geraniumford/transport/worker/SlicedExecutor.java
@@ -104,12 +104,24 @@
         }
     }
 
+    /** Runs a slice. A task that ends it with an {@link Error} does not keep the tasks behind it from running. */
     private void runSlice() {
+        try {
+            runTasks();
+        } finally {
+            scheduleNextSlice();
+        }
+    }
+
+    private void runTasks() {
         long endNanos = System.nanoTime() + SLICE.toNanos();
         run(backgroundTasks.poll());
         while (size() > 0 && System.nanoTime() - endNanos < 0) {
             runNext();
         }
+    }
+
+    private void scheduleNextSlice() {
         scheduled = size() > 0;
         if (scheduled) {
             loop.schedule(this::runSlice, PAUSE.toMillis(), TimeUnit.MILLISECONDS);
--- a/transport/src/test/java/org/geraniumford/transport/worker/SlicedExecutorTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/worker/SlicedExecutorTest.java
@@ -28,7 +28,11 @@
     }
 
     private void awaitEmpty() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         while (CompletableFuture.supplyAsync(executor::size, loop).join() > 0) {
+            assertThat(System.nanoTime() - deadlineNanos)
+                    .as("nanoseconds beyond the limit")
+                    .isNegative();
             Thread.sleep(1);
         }
     }
@@ -98,6 +102,21 @@
         assertThat(ran).containsExactly("next");
     }
 
+    /** Guards against a thread that handles no request any more after one of them ran out of memory. */
+    @Test
+    void shouldRunLaterTasksWhenOneEndsWithAnError() throws Exception {
+        onLoop(() -> {
+            executor.execute(() -> {
+                throw new OutOfMemoryError("thrown by a test");
+            });
+            executor.execute(() -> ran.add("next"));
+        });
+        awaitEmpty();
+        onLoop(() -> executor.execute(() -> ran.add("later")));
+        awaitEmpty();
+        assertThat(ran).containsExactly("next", "later");
+    }
+
     @Test
     void shouldReturnTheLongestWaitOnce() throws Exception {
         onLoop(() -> {
