One place says what marks the end of a response

ServerConnection and Attempt each asked for a length or chunks, in their own words. ResponseFraming answers for both, and names it for the log.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -13,6 +12,7 @@
 import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.HeldBody;
+import org.geraniumford.transport.forward.ResponseFraming;
 import org.geraniumford.transport.forward.ResponseLimits;
 import org.geraniumford.transport.forward.ResponseListener;
 import org.geraniumford.transport.forward.ServerConnection;
@@ -329,9 +329,10 @@
     }
 
     private void complete() {
+        ResponseFraming framing = ResponseFraming.of(head);
         boolean withinEvent = isStreamResponse() && request.stream().isWithinEvent();
-        AttemptLog.responseEnd(request.admitted(), server, head, isEndMarked(), withinEvent);
-        if (isStreamResponse() && !request.stream().isCompleteAtEnd(isEndMarked())) {
+        AttemptLog.responseEnd(request.admitted(), server, head, framing, withinEvent);
+        if (isStreamResponse() && !request.stream().isCompleteAtEnd(framing.isEndMarked())) {
             closed("the stream ends early");
             return;
         }
@@ -349,11 +350,6 @@
         }
     }
 
-    /** Returns whether the end of the response is known from a length or a last chunk. */
-    private boolean isEndMarked() {
-        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-    }
-
     @Override
     public void closed(String reason) {
         if (!ended) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
@@ -5,6 +5,7 @@
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.prompt.PromptSpec;
+import org.geraniumford.transport.forward.ResponseFraming;
 import org.geraniumford.transport.log.LogEvent;
 
 /** The log lines of an attempt that say on what its choice was based and how its response ended. */
@@ -42,12 +43,16 @@
 
     /** Logs what marked the end of the response, and whether a stream ended within an event. */
     static void responseEnd(
-            AdmittedRequest admitted, ServerState server, HttpResponse head, boolean endMarked, boolean withinEvent) {
+            AdmittedRequest admitted,
+            ServerState server,
+            HttpResponse head,
+            ResponseFraming framing,
+            boolean withinEvent) {
         LogEvent.of("response_ended")
                 .with("request", admitted.request().id())
                 .with("server", server.server().id())
                 .with("status", head.status().code())
-                .with("ended_by", endMarked ? "length_or_last_chunk" : "connection")
+                .with("ended_by", framing.label())
                 .with("within_event", withinEvent)
                 .info();
     }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -48,8 +48,8 @@
     /** Whether the body of the response to the current request is being read. */
     private boolean receiving;
 
-    /** Whether only the end of the connection ends the response that is being read. */
-    private boolean closeDelimited;
+    /** What marks the end of the response that is being read. */
+    private ResponseFraming framing = ResponseFraming.DELIMITED;
 
     private boolean reusable = true;
 
@@ -189,8 +189,8 @@
             return;
         }
         receiving = true;
-        closeDelimited = !hasDefinedLength(head);
-        reusable = reusable && HttpUtil.isKeepAlive(head) && !closeDelimited;
+        framing = ResponseFraming.of(head);
+        reusable = reusable && HttpUtil.isKeepAlive(head) && framing.isEndMarked();
         updateKeepAlive(head);
         listener.head(head);
     }
@@ -202,10 +202,6 @@
         }
     }
 
-    private static boolean hasDefinedLength(HttpResponse head) {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     private void readContent(HttpContent chunk) {
         if (skipping) {
             skip(chunk);
@@ -229,7 +225,7 @@
      * the server's bytes is the connection still active then, because half-closed connections are allowed.
      */
     private boolean endsInOrder() {
-        return !closeDelimited || channel.isActive();
+        return framing.isEndMarked() || channel.isActive();
     }
 
     private void skip(HttpContent chunk) {
