SlicedExecutorTest waits for the other work on the thread itself

Cause: the test waited with a task scheduled from outside. Such a task is run as soon as it is taken, ahead of due tasks that the thread has scheduled itself, so the last "other work" could still be due when the list was compared. Scheduled on the thread, the task waits behind them. The check is unchanged.

--- a/transport/src/test/java/org/geraniumford/transport/worker/SlicedExecutorTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/worker/SlicedExecutorTest.java
@@ -85,8 +85,11 @@
             }
         });
         awaitEmpty();
-        // A scheduled task runs after the last other work, which was scheduled before it.
-        loop.schedule(() -> {}, 0, TimeUnit.MILLISECONDS).get();
+        // Scheduled on the thread itself, a task waits behind the other work; one scheduled from outside may run
+        // before.
+        CompletableFuture.supplyAsync(() -> loop.schedule(() -> {}, 0, TimeUnit.MILLISECONDS), loop)
+                .join()
+                .get();
         assertThat(ran).containsExactly("task", "other work", "task", "other work", "task", "other work");
     }
 
