--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
@@ -41,7 +41,7 @@
         return admitted.request().prompt().map(PromptSpec::inputTokens).orElse(0L);
     }
 
-    /** Logs what marked the end of the response, and whether a stream ended within an event. */
+    /** Logs the status line, what marked the end of the response, and whether a stream ended within an event. */
     static void responseEnd(
             AdmittedRequest admitted,
             ServerState server,
@@ -52,6 +52,7 @@
                 .with("request", admitted.request().id())
                 .with("server", server.server().id())
                 .with("status", head.status().code())
+                .with("phrase", LogEvent.limited(head.status().reasonPhrase()))
                 .with("ended_by", framing.label())
                 .with("within_event", withinEvent)
                 .info();
