--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.geraniumford.core.fleet.ServerState;
@@ -187,9 +188,10 @@
         if (kind != ResponseKind.MISDIRECTED) {
             applyLimit(response, kind == ResponseKind.FORWARDABLE);
         }
-        if (kind == ResponseKind.UNTRUSTED) {
+        if (kind.isDoubtful()) {
             connection.abort();
-            failed("untrusted answer " + response.status().code());
+            failed(kind.name().toLowerCase(Locale.ROOT) + " answer "
+                    + response.status().code());
         } else if (kind == ResponseKind.FORWARDABLE) {
             recordWeightsVersion();
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ResponseKind.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ResponseKind.java
@@ -10,6 +10,8 @@
      * an earlier request of its connection. The request may have run.
      */
     UNTRUSTED,
+    /** The response names its request, or is signed, more than once. The request may have run. */
+    AMBIGUOUS,
     /** The server rejected the request without running it. */
     NOT_RUN,
     /** The server did not run the request, because it has other weights loaded or is a different server. */
@@ -29,4 +31,13 @@
     public boolean isRefusal() {
         return this == NOT_RUN || this == MISDIRECTED;
     }
+
+    /**
+     * Returns whether nothing that the response says can be believed.
+     *
+     * @return true if the request may have run, whatever the response says
+     */
+    public boolean isDoubtful() {
+        return this == UNTRUSTED || this == AMBIGUOUS;
+    }
 }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ConnectionPool.java
@@ -11,10 +11,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -26,6 +24,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
+import org.geraniumford.transport.response.StrictResponseDecoder;
 
 /**
  * A pool of connections to backend servers and to other servers that the router calls, kept open between requests. Used
@@ -161,7 +160,7 @@
                 ServerConnection connection = newConnection(channel, address);
                 channel.pipeline()
                         .addLast(new HttpRequestEncoder())
-                        .addLast(new ResponseDecoder(connection))
+                        .addLast(newDecoder(connection))
                         .addLast(connection);
             }
         };
@@ -183,19 +182,12 @@
     }
 
     /** Decodes responses to HEAD requests without a body, whatever their header fields announce. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private final ServerConnection connection;
-
-        ResponseDecoder(ServerConnection connection) {
-            super(new HttpDecoderConfig()
-                    .setMaxHeaderSize(ResponseLimits.MAX_HEAD_BYTES)
-                    .setMaxInitialLineLength(ResponseLimits.MAX_HEAD_BYTES));
-            this.connection = connection;
-        }
-
-        @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return connection.isHeadRequest() || super.isContentAlwaysEmpty(message);
-        }
+    private static StrictResponseDecoder newDecoder(ServerConnection connection) {
+        return new StrictResponseDecoder() {
+            @Override
+            protected boolean isContentAlwaysEmpty(HttpMessage message) {
+                return connection.isHeadRequest() || super.isContentAlwaysEmpty(message);
+            }
+        };
     }
 }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ResponseLimits.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ResponseLimits.java
@@ -5,9 +5,6 @@
  * connection is closed. The time is bounded by the timeout of the call.
  */
 public final class ResponseLimits {
-    /** The maximum size of a status line, and separately of the header fields or of the trailer, in bytes. */
-    public static final int MAX_HEAD_BYTES = 16 * 1024;
-
     /** The maximum number of interim responses, and of responses to other requests, that precede the response. */
     public static final int MAX_IGNORED_RESPONSES = 16;
 
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,6 +22,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.geraniumford.core.forward.RefusalHistory;
+import org.geraniumford.transport.log.LogEvent;
+import org.geraniumford.transport.response.StrictResponseDecoder;
 
 /** A connection of a {@link ConnectionPool}, for one request at a time. Used on its network thread only. */
 public final class ServerConnection extends ChannelInboundHandlerAdapter {
@@ -150,11 +153,12 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (((HttpObject) message).decoderResult().isFailure()) {
-                fail("not an HTTP answer");
+            DecoderResult result = ((HttpObject) message).decoderResult();
+            if (result.isFailure()) {
+                fail("not an HTTP answer: "
+                        + LogEvent.limited(String.valueOf(result.cause().getMessage())));
             } else if (listener == null || finished) {
-                reusable = false;
-                channel.close();
+                closeAfterSurplusBytes();
             } else {
                 read(message);
             }
@@ -244,9 +248,15 @@
         KeepAliveTimeout.parse(value).ifPresent(timeout -> keepAlive = timeout);
     }
 
-    /** Makes the connection available for reuse only after all bytes that arrived with the response have been read. */
+    /**
+     * Makes the connection available for reuse only after all bytes that arrived with the response have been read.
+     * Closes it if the server has sent more than responses: the surplus would be read as the start of the next one.
+     */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        if (listener == null && undecodedBytes() > 0) {
+            closeAfterSurplusBytes();
+        }
         if (!finished) {
             return;
         }
@@ -260,6 +270,22 @@
         }
     }
 
+    private int undecodedBytes() {
+        StrictResponseDecoder decoder = channel.pipeline().get(StrictResponseDecoder.class);
+        return decoder == null ? 0 : decoder.undecodedBytes();
+    }
+
+    private void closeAfterSurplusBytes() {
+        if (reusable) {
+            LogEvent.of("bytes_after_response")
+                    .with("server", channel.remoteAddress())
+                    .with("undecoded", undecodedBytes())
+                    .info();
+        }
+        reusable = false;
+        channel.close();
+    }
+
     /** Closes the connection after the end of the server's bytes, which the decoder has handled before. */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
