A late copy without a length does not hold the next caller until its time is over

Callers behind a late copy of another response that has neither a length nor chunks waited until their deadline (504 after 4 s): the copy was skipped, but nothing says where it ends, so the response behind it was skipped as well. Such a copy now ends the attempt as broken (may have run). A 204 or 304 has no body, so its end is known without a length.

--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -187,9 +187,7 @@
             return;
         }
         if (!listener.accepts(head)) {
-            skipping = true;
-            reusable = false;
-            countIgnoredResponse();
+            skip(head);
             return;
         }
         receiving = true;
@@ -199,6 +197,17 @@
         listener.head(head);
     }
 
+    /** Skips a response to another request, or gives up if nothing says where the next one begins. */
+    private void skip(HttpResponse other) {
+        if (ResponseFraming.of(other).isEndMarked()) {
+            skipping = true;
+            reusable = false;
+            countIgnoredResponse();
+        } else {
+            fail("an answer to another request has no length");
+        }
+    }
+
     private void countIgnoredResponse() {
         ignoredResponses++;
         if (ignoredResponses > ResponseLimits.MAX_IGNORED_RESPONSES) {
