The limit in an ambiguous head is not obeyed

Found by the review: a head that is signed twice, with Server-Limit: 0.05, was not believed, but its limit was: the next five requests were refused (server_limit_reached). The limit may be another response's. It is left alone now for ambiguous heads, as for misdirected ones.

CutHeadTest shouldNotObeyTheLimit…: failed before, passes.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -185,7 +185,7 @@
             kind = ResponseKind.ERROR;
             detail = response.status().code() + " in place of the rest of the stream";
         }
-        if (kind != ResponseKind.MISDIRECTED) {
+        if (kind != ResponseKind.MISDIRECTED && kind != ResponseKind.AMBIGUOUS) {
             applyLimit(response, kind == ResponseKind.FORWARDABLE);
         }
         if (kind.isDoubtful()) {
