A head that is broken off by its connection's end is named in the log

Found by the review: such a head was logged as closed only, like a connection without any bytes, and bytes that are no HTTP after a response closed their connection without bytes_after_response. The decoder now ends with the fault broken_off; as before the strict decoder, such an end does not count as the end of an engine. The limit of a head's size does not depend on how its bytes arrive. CutHeadTest, RepeatedResponseTest, PlatformEntryTest and EndlessResponseTest pass.

--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -154,11 +154,11 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             DecoderResult result = ((HttpObject) message).decoderResult();
-            if (result.isFailure()) {
+            if (listener == null || finished) {
+                closeAfterSurplusBytes();
+            } else if (result.isFailure()) {
                 fail("not an HTTP answer: "
                         + LogEvent.limited(String.valueOf(result.cause().getMessage())));
-            } else if (listener == null || finished) {
-                closeAfterSurplusBytes();
             } else {
                 read(message);
             }
--- a/transport/src/main/java/org/geraniumford/transport/response/ResponseHeadFault.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/ResponseHeadFault.java
@@ -33,7 +33,9 @@
     LENGTH_AND_CHUNKS(head -> !head.values("Content-Length").isEmpty()
             && !head.values("Transfer-Encoding").isEmpty()),
     /** The head is larger than what is read of one. */
-    TOO_LARGE(head -> head.text().length() > StrictResponseDecoder.MAX_HEAD_BYTES);
+    TOO_LARGE(head -> head.text().length() > StrictResponseDecoder.MAX_HEAD_BYTES),
+    /** The connection ends within the head. */
+    BROKEN_OFF(head -> false);
 
     @SuppressWarnings("ImmutableEnumChecker")
     private final Predicate<ResponseHead> predicate;
--- a/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
@@ -71,6 +71,15 @@
         }
     }
 
+    /** Decodes what is left at the end of the connection, where a head may be broken off. */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        super.decodeLast(context, buffer, out);
+        if (!failed && inHead && buffer.isReadable()) {
+            fail(ResponseHeadFault.BROKEN_OFF, buffer, out);
+        }
+    }
+
     private static boolean startsLikeStatusLine(ByteBuf buffer) {
         int length = Math.min(STATUS_LINE_START.length, buffer.readableBytes());
         for (int i = 0; i < length; i++) {
@@ -87,7 +96,7 @@
             fail(ResponseHeadFault.LINE_END, buffer, out);
         } else if (length > 0) {
             decodeWholeHead(length, context, buffer, out);
-        } else if (searchedBytes > MAX_HEAD_BYTES) {
+        } else if (searchedBytes > MAX_HEAD_BYTES + END_OF_HEAD_BYTES) {
             fail(ResponseHeadFault.TOO_LARGE, buffer, out);
         }
     }
