--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -14,7 +14,6 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.HeldBody;
 import org.geraniumford.transport.forward.ResponseFraming;
-import org.geraniumford.transport.forward.ResponseLimits;
 import org.geraniumford.transport.forward.ResponseListener;
 import org.geraniumford.transport.forward.ServerConnection;
 
@@ -34,7 +33,7 @@
     private ServerConnection connection;
     private ResponseKind kind;
     private HttpResponse head;
-    private long receivedBytes;
+    private final BodyCheck bodyCheck;
     private final HeldBody body;
     /** A description of the failure for the log; empty if there is none. */
     private String detail = "";
@@ -48,6 +47,7 @@
         this.request = request;
         this.server = server;
         this.dispatch = dispatch;
+        this.bodyCheck = BodyCheck.of(request.gateway().protocol().identifyingFields());
         this.body = request.gateway().responseMemory().newBody(this::handleEviction);
         this.weights = AttemptWeights.of(request.gateway(), request.admitted(), dispatch);
         this.totalTokens = request.admitted()
@@ -189,8 +189,7 @@
             applyLimit(response, kind == ResponseKind.FORWARDABLE);
         }
         if (kind.isDoubtful()) {
-            connection.abort();
-            failed(kind.name().toLowerCase(Locale.ROOT) + " answer "
+            breakOff(kind.name().toLowerCase(Locale.ROOT) + " answer "
                     + response.status().code());
         } else if (kind == ResponseKind.FORWARDABLE) {
             recordWeightsVersion();
@@ -243,20 +242,26 @@
         if (ended) {
             return;
         }
-        receivedBytes += chunk.readableBytes();
-        if (isStreamResponse()) {
+        Optional<String> fault = bodyCheck.feed(chunk, isStreamResponse());
+        if (fault.isPresent()) {
+            breakOff(fault.get());
+        } else if (isStreamResponse()) {
             server.reachability().recordActivity(System.nanoTime());
             recordBegin();
             if (request.forwardStreamChunk(head, chunk)) {
                 attemptPrompt.recordWholeEvent();
             }
-            checkStreamLimits();
-        } else if (receivedBytes <= ResponseLimits.MAX_BUFFERED_BYTES) {
+            checkEventSize();
+        } else {
             recordPrefillEnd();
             body.append(chunk);
-        } else {
-            connection.abort();
-            failed("the answer exceeds " + ResponseLimits.MAX_BUFFERED_BYTES + " bytes");
+        }
+    }
+
+    @Override
+    public void surplus(ByteBuf bytes) {
+        if (!ended) {
+            bodyCheck.feedSurplus(bytes).ifPresent(this::breakOff);
         }
     }
 
@@ -268,20 +273,21 @@
         }
     }
 
-    private void checkStreamLimits() {
+    private void checkEventSize() {
         if (request.stream().hasOversizedEvent()) {
-            connection.abort();
-            failed("an event exceeds " + EventFramer.MAX_EVENT_BYTES + " bytes");
-        } else if (receivedBytes > ResponseLimits.MAX_STREAM_BYTES) {
-            connection.abort();
-            failed("the stream exceeds " + ResponseLimits.MAX_STREAM_BYTES + " bytes");
+            breakOff("an event exceeds " + EventFramer.MAX_EVENT_BYTES + " bytes");
         }
     }
 
     /** Ends this attempt, because of all responses that are held its own is the largest and they are too large. */
     private void handleEviction() {
+        breakOff("evicted: the responses that are held are too large together");
+    }
+
+    /** Ends this attempt because of what its response holds. The request may have run. */
+    private void breakOff(String reason) {
         connection.abort();
-        failed("evicted: the responses that are held are too large together");
+        failed(reason);
     }
 
     private boolean isStreamResponse() {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.geraniumford.core.verdict.Refusal;
 
 /** Translates between the header fields of a deployment and the types of the gateway. */
@@ -51,6 +52,14 @@
      */
     Optional<String> responseId(HttpResponse head);
 
+    /**
+     * Returns the names of the fields by which a backend server's response names its request or is signed. A body that
+     * holds one of them behind a status line holds another response.
+     *
+     * @return the names in lower case
+     */
+    Set<String> identifyingFields();
+
     /**
      * Returns the version of the weights that the server had loaded when it responded.
      *
--- a/transport/src/main/java/org/geraniumford/transport/forward/ResponseListener.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ResponseListener.java
@@ -36,6 +36,15 @@
      */
     void content(ByteBuf chunk);
 
+    /**
+     * Called before {@link #end} with the bytes that arrived with the response and follow it.
+     *
+     * @param bytes the bytes, which may continue what the body ends with; released by the connection after the call
+     */
+    default void surplus(ByteBuf bytes) {
+        // Bytes after a complete response belong to no request.
+    }
+
     /** Called at the end of a complete response. */
     void end();
 
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -124,6 +125,7 @@
         finished = false;
         ignoredResponses = 0;
         skippedBytes = 0;
+        decoder().ifPresent(StrictResponseDecoder::resume);
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
                 failure = "write failed: " + written.cause().getMessage();
@@ -226,12 +228,24 @@
         if (chunk instanceof LastHttpContent && listener != null && endsInOrder()) {
             receiving = false;
             finished = true;
-            ResponseListener completed = listener;
-            listener = null;
-            completed.end();
+            decoder().ifPresent(StrictResponseDecoder::pause);
         }
     }
 
+    /** Ends a response whose last bytes were read, once it is known what arrived with them. */
+    private void completeResponse() {
+        if (!finished || listener == null) {
+            return;
+        }
+        ResponseListener completed = listener;
+        listener = null;
+        decoder()
+                .map(StrictResponseDecoder::undecoded)
+                .filter(ByteBuf::isReadable)
+                .ifPresent(completed::surplus);
+        completed.end();
+    }
+
     /**
      * Returns whether the end that the decoder reports is one that the server sent. The decoder also ends a response
      * without a length when its connection is closed by a reset, a failed write or this process; only after the end of
@@ -258,11 +272,13 @@
     }
 
     /**
-     * Makes the connection available for reuse only after all bytes that arrived with the response have been read.
-     * Closes it if the server has sent more than responses: the surplus would be read as the start of the next one.
+     * Ends the response, and makes the connection available for reuse, only after all bytes that arrived with the
+     * response have been read. Closes it if the server has sent more than responses: the surplus would be read as the
+     * start of the next one.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        completeResponse();
         if (listener == null && undecodedBytes() > 0) {
             closeAfterSurplusBytes();
         }
@@ -280,8 +296,12 @@
     }
 
     private int undecodedBytes() {
-        StrictResponseDecoder decoder = channel.pipeline().get(StrictResponseDecoder.class);
-        return decoder == null ? 0 : decoder.undecodedBytes();
+        return decoder().map(StrictResponseDecoder::undecodedBytes).orElse(0);
+    }
+
+    /** Returns the decoder before this handler; empty once the connection is closed. */
+    private Optional<StrictResponseDecoder> decoder() {
+        return Optional.ofNullable(channel.pipeline().get(StrictResponseDecoder.class));
     }
 
     private void closeAfterSurplusBytes() {
@@ -299,6 +319,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
+            completeResponse();
             channel.close();
         }
     }
@@ -316,8 +337,12 @@
         endListener(reason).ifPresent(interrupted -> interrupted.failed(reason));
     }
 
-    /** Closes the connection, and returns the listener of the response that is thereby interrupted. */
+    /**
+     * Closes the connection, and returns the listener of the response that is thereby interrupted. A response that had
+     * been read to its end is not.
+     */
     private Optional<ResponseListener> endListener(String reason) {
+        completeResponse();
         failure = reason;
         reusable = false;
         ResponseListener interrupted = listener;
--- a/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
@@ -40,6 +40,9 @@
 
     private boolean failed;
 
+    /** Whether what is received is kept undecoded. */
+    private boolean paused;
+
     /** Creates a decoder at the start of a connection. */
     public StrictResponseDecoder() {
         super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES).setMaxInitialLineLength(MAX_HEAD_BYTES));
@@ -56,10 +59,34 @@
         return actualReadableBytes();
     }
 
+    /**
+     * Returns the bytes that have been received and belong to no decoded message.
+     *
+     * @return the bytes; valid until more are received, and not to be released
+     */
+    public ByteBuf undecoded() {
+        return internalBuffer();
+    }
+
+    // -- commands
+
+    /** Keeps what is received undecoded, because it belongs to no response that is awaited. */
+    public void pause() {
+        paused = true;
+    }
+
+    /** Decodes what is received from now on. */
+    public void resume() {
+        paused = false;
+    }
+
     // -- decoding
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (paused) {
+            return;
+        }
         if (failed) {
             buffer.skipBytes(buffer.readableBytes());
         } else if (!inHead) {
--- /dev/null
+++ b/transport/src/test/java/org/geraniumford/transport/response/EmbeddedHeadDetectorTest.java
@@ -0,0 +1,100 @@
+package org.geraniumford.transport.response;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class EmbeddedHeadDetectorTest {
+    private static final String HEAD = "HTTP/1.1 500 Failed\r\nDate: today\r\nName: id\r\n\r\n";
+
+    private static EmbeddedHeadDetector empty() {
+        return EmbeddedHeadDetector.of(Set.of("name", "signature"));
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    private static boolean finds(String... chunks) {
+        EmbeddedHeadDetector detector = empty();
+        List.of(chunks).forEach(chunk -> detector.feed(bytes(chunk)));
+        return detector.isFound();
+    }
+
+    private static boolean findsWithSurplus(String body, String surplus) {
+        EmbeddedHeadDetector detector = empty();
+        detector.feed(bytes(body));
+        detector.endBody();
+        detector.feed(bytes(surplus));
+        return detector.isFound();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                HEAD,
+                "text" + HEAD,
+                "HTTP/1.HTTP" + HEAD,
+                "HTTP/1.1 200 OK\r\n\r\nHTTP/1.0 200\r\nSIGNATURE:s",
+                "HTTP/1.1 200 OHTTP/1.1 200 OK\r\nName:",
+                "HTTP/1.1 200 OK\r\nA: H\r\nno colon\r\nB: HTTP/1.1\r\nname: 1"
+            })
+    void shouldFindAHeadWhereverItIsSplit(String body) {
+        assertThat(finds(body)).isTrue();
+        assertThat(finds(body.split(""))).isTrue();
+        for (int split = 0; split <= body.length(); split++) {
+            assertThat(finds(body.substring(0, split), body.substring(split)))
+                    .as("split at " + split)
+                    .isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "H",
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK\r\n\r\nName: 1\r\n",
+                "HTTP/1.1 200 OK\nName: 1\n",
+                "HTTP/1.1 200 OK\rName: 1\r",
+                "HTTP/1.1 200 OK\r\nOther-Name: 1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nOther: Name: 1\r\n\r\n",
+                "HTTP/2.0 200 OK\r\nName: 1\r\n",
+                "HTTP/1.1 20x OK\r\nName: 1\r\n",
+                "Name: 1\r\nSignature: 2\r\n"
+            })
+    void shouldNotFindAHeadInATextThatOnlyMentionsOne(String body) {
+        assertThat(finds(body)).isFalse();
+        assertThat(finds(body.split(""))).isFalse();
+    }
+
+    @Test
+    void shouldFindAHeadThatBeginsWithinTheBodyAndContinuesBehindIt() {
+        for (int split = 1; split < HEAD.indexOf("Name:"); split++) {
+            assertThat(findsWithSurplus("text" + HEAD.substring(0, split), HEAD.substring(split)))
+                    .as("split at " + split)
+                    .isTrue();
+        }
+    }
+
+    @Test
+    void shouldNotFindAHeadThatBeginsBehindTheBody() {
+        assertThat(findsWithSurplus("text", HEAD)).isFalse();
+        assertThat(findsWithSurplus("text HTTP/1.1 200 OK", HEAD)).isFalse();
+        assertThat(findsWithSurplus("text HTTP/1.1 200 OK", "\r\n\r\nName: 1")).isFalse();
+    }
+
+    @Test
+    void shouldNotFindAHeadThatIsLargerThanAnyIsRead() {
+        String padding = "A: " + "b".repeat(StrictResponseDecoder.MAX_HEAD_BYTES) + "\r\n";
+        assertThat(finds("HTTP/1.1 200 OK\r\n" + padding + "Name: 1")).isFalse();
+    }
+}
