--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -261,7 +261,7 @@
     @Override
     public void surplus(ByteBuf bytes) {
         if (!ended) {
-            bodyCheck.feedSurplus(bytes).ifPresent(this::breakOff);
+            bodyCheck.feedSurplus(head, bytes).ifPresent(this::breakOff);
         }
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/BodyCheck.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/BodyCheck.java
@@ -3,6 +3,8 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumford.transport.forward.ResponseLimits;
@@ -42,8 +44,14 @@
         return fault();
     }
 
-    /** Checks the bytes behind the body, which may continue a head that begins within it. */
-    Optional<String> feedSurplus(ByteBuf bytes) {
+    /**
+     * Checks the bytes behind the response, which may continue a head that begins within the body; not if the body ends
+     * with a last chunk, which stands between them.
+     */
+    Optional<String> feedSurplus(HttpResponse head, ByteBuf bytes) {
+        if (HttpUtil.isTransferEncodingChunked(head)) {
+            return Optional.empty();
+        }
         detector.endBody();
         detector.feed(bytes);
         return fault();
--- a/transport/src/main/java/org/geraniumford/transport/response/EmbeddedHeadDetector.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/EmbeddedHeadDetector.java
@@ -8,9 +8,10 @@
 
 /**
  * Detects the head of another response within a body: a status line that is followed, before an empty line, by a field
- * that only a response's head has. Such a body was broken off, and its missing bytes were filled up by the next
- * response. A text that only mentions a status line, or whose lines do not end with CR LF, is no head. Reads each byte
- * once, and keeps at most the name of one field. Not thread-safe.
+ * that only a response's head has, or, if the bytes behind the body continue the head, by any field. Such a body was
+ * broken off, and its missing bytes were filled up by the next response. A text that only mentions a status line, or
+ * whose lines do not end with CR LF, is no head. Reads each byte once, and keeps at most the name of one field. Not
+ * thread-safe.
  */
 public final class EmbeddedHeadDetector {
     /** What a status line begins with; the characters in place of its digits are not compared. */
@@ -123,6 +124,7 @@
     }
 
     private void beginHead() {
+        found = bodyEnded && beginsInBody;
         matched = 0;
         inHead = beginsInBody;
         headBytes = 0;
@@ -150,10 +152,16 @@
         name.setLength(0);
     }
 
+    private boolean isFieldName() {
+        return !name.isEmpty() && name.chars().allMatch(character -> character > ' ');
+    }
+
     private void readName(char next) {
         if (next == ':') {
             nameEnded = true;
-            found = fieldNames.contains(name.toString().toLowerCase(Locale.ROOT));
+            found = bodyEnded
+                    ? isFieldName()
+                    : fieldNames.contains(name.toString().toLowerCase(Locale.ROOT));
         } else if (name.length() < MAX_NAME_LENGTH) {
             name.append(next);
         }
--- a/transport/src/test/java/org/geraniumford/transport/response/EmbeddedHeadDetectorTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/response/EmbeddedHeadDetectorTest.java
@@ -85,11 +85,24 @@
         }
     }
 
+    @Test
+    void shouldFindAHeadOfAnyFieldsThatBeginsWithinTheBodyAndContinuesBehindIt() {
+        String head = "HTTP/1.1 500 Failed\r\nDate: today\r\nAge: 1\r\n\r\n";
+        for (int split = 1; split < head.indexOf(": 1"); split++) {
+            assertThat(findsWithSurplus("text" + head.substring(0, split), head.substring(split)))
+                    .as("split at " + split)
+                    .isTrue();
+        }
+        assertThat(findsWithSurplus("text HTTP/1.1 20", "0 OK")).isTrue();
+    }
+
     @Test
     void shouldNotFindAHeadThatBeginsBehindTheBody() {
         assertThat(findsWithSurplus("text", HEAD)).isFalse();
         assertThat(findsWithSurplus("text HTTP/1.1 200 OK", HEAD)).isFalse();
         assertThat(findsWithSurplus("text HTTP/1.1 200 OK", "\r\n\r\nName: 1")).isFalse();
+        assertThat(findsWithSurplus("text HTTP/1.1 200 OK", "\r\nno name: 1")).isFalse();
+        assertThat(findsWithSurplus("text HTTP/1.1 200 OK", "\r\n: 1")).isFalse();
     }
 
     @Test
