AsyncHttpClient's responses are read strictly too

What callers saw: in the product's own calls (plain services, completions, state and orders of engines, rows and objects of the platform) a failure counted as a success when another response's head broke off before it. Bytes behind a response were read as the start of the next one, or made the next, ordinary call fail.

Cause: AsyncHttpClient uses Netty's HttpClientCodec, whose decoder accepts a status line within a reason phrase, a field's name or its value, and it ignores bytes that arrive on a pooled connection.

Change: StrictClientCodec (StrictResponseDecoder and HttpRequestEncoder) replaces the codec "http" through the additional channel initializer, in BackendHttpClients, PlatformClient, OperatorClient and LoadRun. It remembers the method of the request, because a plain service's caller may send HEAD, and closes the connection on bytes that belong to no request before the client hears of the response's end, so that it isn't pooled. Of the codec AsyncHttpClient needs only its name, in the pipeline (read with javap; proxies, web sockets and HTTP/2 install their own codec and aren't used here).

--- a/daemon/src/main/java/org/geraniumford/daemon/command/OperatorClient.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/command/OperatorClient.java
@@ -12,6 +12,7 @@
 import org.asynchttpclient.Response;
 import org.geraniumford.daemon.operator.ProcessStatus;
 import org.geraniumford.transport.engine.BoundedResponseHandler;
+import org.geraniumford.transport.response.StrictClientCodec;
 
 /**
  * Sends requests to the operator ports of processes. A request fails with a {@link CommandException} if there is no
@@ -33,6 +34,7 @@
                 .setConnectTimeout(TIMEOUT)
                 .setRequestTimeout(TIMEOUT)
                 .setMaxRequestRetry(0)
+                .setHttpAdditionalChannelInitializer(StrictClientCodec::install)
                 .setIoThreadsCount(1)));
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/load/LoadRun.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/load/LoadRun.java
@@ -16,6 +16,7 @@
 import org.asynchttpclient.Dsl;
 import org.asynchttpclient.Request;
 import org.geraniumford.core.close.Closer;
+import org.geraniumford.transport.response.StrictClientCodec;
 
 /**
  * Sends the requests of a trace on their schedule, whether or not earlier requests have completed. Times count from the
@@ -91,6 +92,7 @@
     private static AsyncHttpClient newClient() {
         return Dsl.asyncHttpClient(Dsl.config()
                 .setMaxRequestRetry(MAX_CLIENT_RETRIES)
+                .setHttpAdditionalChannelInitializer(StrictClientCodec::install)
                 .setRequestTimeout(java.time.Duration.ofSeconds(REQUEST_TIMEOUT_SECONDS))
                 .setReadTimeout(java.time.Duration.ofSeconds(REQUEST_TIMEOUT_SECONDS)));
     }
--- a/transport/src/main/java/org/geraniumford/transport/engine/BackendHttpClients.java
+++ b/transport/src/main/java/org/geraniumford/transport/engine/BackendHttpClients.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.geraniumford.transport.response.StrictClientCodec;
 
 /** Creates the HTTP clients of backend servers. */
 public final class BackendHttpClients {
@@ -29,6 +30,7 @@
                 .setShutdownQuietPeriod(Duration.ZERO)
                 .setShutdownTimeout(Duration.ofSeconds(1))
                 .setThreadPoolName("backend-http")
+                .setHttpAdditionalChannelInitializer(StrictClientCodec::install)
                 .build());
     }
 }
--- a/transport/src/main/java/org/geraniumford/transport/platform/PlatformClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/platform/PlatformClient.java
@@ -23,6 +23,7 @@
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
 import org.geraniumford.transport.engine.BoundedResponseHandler;
+import org.geraniumford.transport.response.StrictClientCodec;
 
 /**
  * A client of the platform's HTTP interface. Futures complete on a network thread, which must not block. Thread-safe.
@@ -94,7 +95,8 @@
                 .setMaxRequestRetry(0)
                 .setConnectTimeout(CONNECT_TIMEOUT)
                 .setRequestTimeout(CALL_TIMEOUT)
-                .setReadTimeout(CALL_TIMEOUT);
+                .setReadTimeout(CALL_TIMEOUT)
+                .setHttpAdditionalChannelInitializer(StrictClientCodec::install);
     }
 
     // -- queries
--- a/transport/src/test/java/org/geraniumford/transport/engine/RawServer.java
+++ b/transport/src/test/java/org/geraniumford/transport/engine/RawServer.java
@@ -22,33 +22,44 @@
     /** The time from the last byte to the close of the connection. */
     private final long closeDelayMillis;
 
+    /** Whether the connection is reset instead of closed. */
+    private final boolean resetting;
+
     private final CompletableFuture<Long> written = new CompletableFuture<>();
 
-    private RawServer(ServerSocket listener, String start, Optional<String> repeated, long closeDelayMillis) {
+    private RawServer(
+            ServerSocket listener, String start, Optional<String> repeated, long closeDelayMillis, boolean resetting) {
         this.listener = listener;
         this.start = start;
         this.repeated = repeated;
         this.closeDelayMillis = closeDelayMillis;
+        this.resetting = resetting;
     }
 
     /** Starts a server that writes a text and closes the connection. */
     static RawServer sending(String text) throws IOException {
-        return start(text, Optional.empty(), 0);
+        return start(text, Optional.empty(), 0, false);
     }
 
     /** Starts a server that writes a text and closes the connection 200 ms later, after the client has read it. */
     static RawServer sendingAndClosingLater(String text) throws IOException {
-        return start(text, Optional.empty(), CLOSE_DELAY_MILLIS);
+        return start(text, Optional.empty(), CLOSE_DELAY_MILLIS, false);
+    }
+
+    /** Starts a server that writes a text and resets the connection. */
+    static RawServer sendingAndResetting(String text) throws IOException {
+        return start(text, Optional.empty(), 0, true);
     }
 
     /** Starts a server that writes a text, and then another one until the caller closes the connection. */
     static RawServer sendingWithoutEnd(String text, String repeated) throws IOException {
-        return start(text, Optional.of(repeated), 0);
+        return start(text, Optional.of(repeated), 0, false);
     }
 
-    private static RawServer start(String text, Optional<String> repeated, long closeDelayMillis) throws IOException {
+    private static RawServer start(String text, Optional<String> repeated, long closeDelayMillis, boolean resetting)
+            throws IOException {
         ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        RawServer server = new RawServer(listener, text, repeated, closeDelayMillis);
+        RawServer server = new RawServer(listener, text, repeated, closeDelayMillis, resetting);
         Thread thread = new Thread(server::serve, "raw-server");
         thread.setDaemon(true);
         thread.start();
@@ -74,6 +85,9 @@
                 if (socket.getInputStream().read(new byte[REQUEST_BUFFER_BYTES]) > 0) {
                     written.complete(respond(socket.getOutputStream()));
                     Thread.sleep(closeDelayMillis);
+                    if (resetting) {
+                        socket.setSoLinger(true, 0);
+                    }
                 }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
