One writer of responses to callers, which knows the method and what was written

Cause: the encoder knows nothing of the request, and the three places that wrote responses asked neither for the method nor for what had been written before. A second response within a begun one was kept out only because the encoder threw; the connection then stayed open, and the caller waited.

Change: CallerResponse is the only writer from the head of a request to the end of its response. BodyFraming says which body and which length the method and the status allow (HEAD, 204, 205, 304). A second head cuts a begun response off; behind a complete one it is not written. second_response and response_unwritten say what the caller got. HEAD on a streaming route got 502 or a last chunk as its body, and a length of 0 stood in responses to HEAD and in 304; both are gone.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
@@ -91,8 +92,10 @@
         return admitted.timeLimit().minusNanos(times.elapsedNanos());
     }
 
+    /** Returns whether a success is a stream of events. A response to HEAD has no events on any route. */
     boolean isStreaming() {
-        return admitted.route().kind() == RouteKind.STREAMING;
+        return admitted.route().kind() == RouteKind.STREAMING
+                && !exchange.request().method().equals(HttpMethod.HEAD);
     }
 
     // -- attempts
@@ -259,9 +262,8 @@
     }
 
     void forwardResponse(FullHttpResponse response) {
-        finish("answered");
+        respond("answered", response);
         times.recordEnd();
-        exchange.respond(response);
     }
 
     FullHttpResponse fullResponse(HttpResponse head, ByteBuf body) {
@@ -296,12 +298,23 @@
     // -- completion
 
     private void refuse(Refusal refusal) {
-        finish(refusal.reason().label());
         gateway.metrics().countRefusal(refusal.reason());
-        exchange.respond(
+        respond(
+                refusal.reason().label(),
                 gateway.protocol().encodeRefusal(refusal, admitted.request().id()));
     }
 
+    /** Sends the only response, or cuts off the one that the caller is receiving. */
+    private void respond(String outcome, FullHttpResponse response) {
+        if (exchange.hasBegun()) {
+            response.release();
+            abortStream("second_response");
+            return;
+        }
+        finish(outcome);
+        exchange.respond(response);
+    }
+
     private void abortStream(String reason) {
         finish("cut_off_" + reason);
         gateway.metrics().countRefusal(Reason.STREAM_BROKEN);
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -13,7 +12,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -48,6 +46,9 @@
     private ByteBuf body;
     private long headReadNanos;
 
+    /** The response to the latest request whose head has been read; null before the first. */
+    private CallerResponse response;
+
     /** Whether a request was malformed or too large; whatever arrives after it is discarded. */
     private boolean refused;
 
@@ -114,6 +115,9 @@
             if (refused) {
                 return;
             }
+            if (message instanceof HttpRequest request) {
+                response = CallerResponse.of(context.channel(), request.method());
+            }
             if (((HttpObject) message).decoderResult().isFailure()) {
                 refuseMalformed(((HttpObject) message).decoderResult().cause());
                 return;
@@ -144,7 +148,7 @@
         body = Unpooled.EMPTY_BUFFER;
         restartReadTimer();
         if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            response.requestBody();
         }
     }
 
@@ -187,7 +191,7 @@
                 body,
                 head.headers(),
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-        CallerExchange exchange = new CallerExchange(context.channel(), request, headReadNanos, this);
+        CallerExchange exchange = new CallerExchange(response, request, headReadNanos, this);
         current = exchange;
         head = null;
         body = null;
@@ -217,10 +221,9 @@
     private void refuse(HttpResponseStatus status) {
         refused = true;
         discardPartialRequest();
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-        HttpUtil.setContentLength(response, 0);
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        FullHttpResponse refusal = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        HttpUtil.setContentLength(refusal, 0);
+        response.writeWhole(refusal, true);
         server.refused(status.code());
     }
 
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
@@ -4,20 +4,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
 
 /** A caller's request and the means to respond to it. Used on its network thread only. */
 public final class CallerExchange {
     private final Channel channel;
+    private final CallerResponse response;
     private final FullHttpRequest request;
     private final long headReadNanos;
     private final CallerConnection connection;
@@ -26,8 +21,9 @@
     private Runnable disconnectListener = () -> {};
     private Runnable writableListener = () -> {};
 
-    CallerExchange(Channel channel, FullHttpRequest request, long headReadNanos, CallerConnection connection) {
-        this.channel = channel;
+    CallerExchange(CallerResponse response, FullHttpRequest request, long headReadNanos, CallerConnection connection) {
+        this.channel = response.channel();
+        this.response = response;
         this.request = request;
         this.headReadNanos = headReadNanos;
         this.connection = connection;
@@ -72,6 +68,15 @@
         return channel.isWritable();
     }
 
+    /**
+     * Returns whether a part of the response has been written.
+     *
+     * @return true from the head to the end; no other response can be sent then
+     */
+    public boolean hasBegun() {
+        return response.isBegun();
+    }
+
     // -- commands
 
     /** Closes the connection once the response has been written. */
@@ -98,14 +103,17 @@
     }
 
     /**
-     * Sends a complete response.
+     * Sends a complete response, without its body if the method or the status allows none. Cuts the response off if
+     * {@link #begin} has started one, and sends nothing if one has been sent.
      *
-     * @param response the response
+     * @param whole the response; released
      */
-    public void respond(FullHttpResponse response) {
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        setConnectionHeader(response);
-        finish(channel.writeAndFlush(response));
+    public void respond(FullHttpResponse whole) {
+        done = true;
+        updateCloseAfter();
+        if (response.writeWhole(whole, closeAfter)) {
+            readNextRequest();
+        }
     }
 
     /**
@@ -115,29 +123,31 @@
      * @param head the status and header fields
      */
     public void begin(HttpResponse head) {
-        HttpUtil.setTransferEncodingChunked(head, true);
-        setConnectionHeader(head);
-        channel.write(head);
+        updateCloseAfter();
+        response.writeHead(head, closeAfter);
     }
 
     /**
-     * Sends a chunk of the body.
+     * Sends a chunk of the body. It is discarded if the method or the status allows no body.
      *
      * @param chunk the next bytes of the body; released once written
      */
     public void writeContent(ByteBuf chunk) {
-        channel.writeAndFlush(new DefaultHttpContent(chunk));
+        response.writeContent(chunk);
     }
 
     /** Completes a response that {@link #begin} started. */
     public void end() {
-        finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        done = true;
+        if (response.writeEnd(closeAfter)) {
+            readNextRequest();
+        }
     }
 
     /** Closes the connection, so that an incomplete response does not look complete. */
     public void abort() {
         done = true;
-        channel.close();
+        response.cutOff();
     }
 
     /** Releases the request's body. Has no effect if it is already released. */
@@ -147,18 +157,12 @@
         }
     }
 
-    private void setConnectionHeader(HttpResponse response) {
+    private void updateCloseAfter() {
         closeAfter = closeAfter || connection.closesAfterResponse();
-        if (closeAfter) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
     }
 
-    private void finish(ChannelFuture written) {
-        done = true;
-        if (closeAfter) {
-            written.addListener(ChannelFutureListener.CLOSE);
-        } else {
+    private void readNextRequest() {
+        if (!closeAfter) {
             connection.responseCompleted();
         }
     }
