No body in responses to HEAD of the product's server over HTTP/2

A caller that sent HEAD over HTTP/2 got the text, or the events, of the response to GET. Over HTTP/1.1 the codec knows the method and drops them; the codec of HTTP/2 streams does not. HttpExchange now writes none.

HttpHeadTest: 3 of 9 cases failed before (HTTP/2), none after; the cases of HTTP/1.1 passed before too. HttpServerTest passes.

--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -42,6 +43,9 @@
     private volatile byte[] body;
     private final boolean keepAlive;
 
+    /** Whether a response has a body; false for HEAD, whose response has only the header fields of that to GET. */
+    private final boolean hasResponseBody;
+
     /** Whether the request could not be read to its end, so that the caller may still be sending it. */
     private final boolean requestUnread;
 
@@ -61,6 +65,7 @@
         this.body = ByteBufUtil.getBytes(request.content());
         this.requestUnread = request.decoderResult().isFailure();
         this.keepAlive = HttpUtil.isKeepAlive(request) && !requestUnread;
+        this.hasResponseBody = !request.method().equals(HttpMethod.HEAD);
         this.endListener = endListener;
     }
 
@@ -137,7 +142,7 @@
     // -- complete responses
 
     /**
-     * Sends a complete response.
+     * Sends a complete response, without its body if the method is HEAD.
      *
      * @param status the HTTP status
      * @param contentType the body's media type
@@ -149,7 +154,7 @@
     }
 
     /**
-     * Sends a complete response.
+     * Sends a complete response, without its body if the method is HEAD.
      *
      * @param status the HTTP status
      * @param contentType the body's media type
@@ -158,7 +163,9 @@
      */
     public void respond(int status, String contentType, byte[] bytes, Map<String, String> fields) {
         FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(hasResponseBody ? bytes : EMPTY_BODY));
         addHeaders(response, contentType, fields);
         HttpUtil.setContentLength(response, bytes.length);
         finish(response);
@@ -189,11 +196,14 @@
     }
 
     /**
-     * Sends one server-sent event.
+     * Sends one server-sent event, or nothing if the method is HEAD.
      *
      * @param data the event's data, without line breaks
      */
     public void sendEvent(String data) {
+        if (!hasResponseBody) {
+            return;
+        }
         byte[] bytes = ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
         context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     }
