A second response of the product's server is not written

A service that responded twice put a second response on a kept HTTP/1.1 connection, where the caller's next response is awaited; one that responded within a stream made the encoder throw, and its caller waited for the rest. HttpExchange now keeps what has been written: a response within a stream closes the connection (over HTTP/2 the stream), one behind a complete response is not written. Both are logged as second_response.

By reading, no service of the product responds twice.

--- a/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HttpExchange.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.geraniumford.transport.log.LogEvent;
 
 /**
  * An HTTP request and the means to respond to it. Thread-safe, but only one thread may write the response. With HTTP/2,
@@ -52,6 +53,12 @@
     /** Called once the response has been written completely, or writing its end has failed. */
     private final Runnable endListener;
 
+    /** Whether the head of the response has been written; the thread that writes the response changes it. */
+    private volatile boolean begun;
+
+    /** Whether the end of the response has been written, or it has been cut off. */
+    private volatile boolean ended;
+
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private volatile Runnable closedListener = () -> {};
     private volatile Runnable writableListener = () -> {};
@@ -142,7 +149,8 @@
     // -- complete responses
 
     /**
-     * Sends a complete response, without its body if the method is HEAD.
+     * Sends a complete response, without its body if the method is HEAD. Closes the connection instead if a streamed
+     * response has begun, and does nothing if a response has been sent.
      *
      * @param status the HTTP status
      * @param contentType the body's media type
@@ -154,7 +162,8 @@
     }
 
     /**
-     * Sends a complete response, without its body if the method is HEAD.
+     * Sends a complete response, without its body if the method is HEAD. Closes the connection instead if a streamed
+     * response has begun, and does nothing if a response has been sent.
      *
      * @param status the HTTP status
      * @param contentType the body's media type
@@ -162,6 +171,9 @@
      * @param fields further header fields
      */
     public void respond(int status, String contentType, byte[] bytes, Map<String, String> fields) {
+        if (!begin(status)) {
+            return;
+        }
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
@@ -184,11 +196,15 @@
     // -- streamed responses
 
     /**
-     * Starts a response that streams server-sent events.
+     * Starts a response that streams server-sent events. Closes the connection instead if such a response has begun,
+     * and does nothing if a response has been sent.
      *
      * @param fields further header fields
      */
     public void startEvents(Map<String, String> fields) {
+        if (!begin(HttpResponseStatus.OK.code())) {
+            return;
+        }
         HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         addHeaders(response, EVENT_STREAM, fields);
         HttpUtil.setTransferEncodingChunked(response, true);
@@ -201,7 +217,7 @@
      * @param data the event's data, without line breaks
      */
     public void sendEvent(String data) {
-        if (!hasResponseBody) {
+        if (!hasResponseBody || ended) {
             return;
         }
         byte[] bytes = ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
@@ -210,6 +226,9 @@
 
     /** Ends a stream of server-sent events normally. */
     public void endEvents() {
+        if (ended) {
+            return;
+        }
         finish(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
@@ -289,7 +308,25 @@
         }
     }
 
+    /** Returns whether a head may be written now. A response that has begun is cut off in place of a second head. */
+    private boolean begin(int status) {
+        if (!begun) {
+            begun = true;
+            return true;
+        }
+        LogEvent.of("second_response")
+                .with("status", status)
+                .with("caller_got", ended ? "all" : "a part")
+                .warn();
+        if (!ended) {
+            ended = true;
+            abort();
+        }
+        return false;
+    }
+
     private void finish(Object last) {
+        ended = true;
         var written = context.writeAndFlush(last);
         written.addListener(flushed -> {
             done.complete(null);
--- a/transport/src/test/java/org/geraniumford/transport/http/HttpHeadTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/http/HttpHeadTest.java
@@ -25,7 +25,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against a body in a response to HEAD of {@link HttpServer}. */
+/** Guards against bytes on a connection of {@link HttpServer} that are no response to one of its requests. */
 final class HttpHeadTest {
     private static final HttpLimits LIMITS = new HttpLimits(1000, 2000, 100, HttpLimits.DEFAULT_REQUEST_TIMEOUT);
     private static final int TIMEOUT_MILLIS = 5_000;
@@ -49,7 +49,7 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    /** Responds with a text or a stream, as the path says. */
+    /** Responds with a text, a stream, or two responses, as the path says. */
     private static final class PathService implements HttpService {
         @Override
         public void handle(HttpExchange exchange) {
@@ -59,6 +59,15 @@
                     exchange.sendEvent("1");
                     exchange.endEvents();
                 }
+                case "/second-head" -> {
+                    exchange.startEvents(Map.of());
+                    exchange.sendEvent("1");
+                    respond(exchange, 500);
+                }
+                case "/second-response" -> {
+                    respond(exchange, 200);
+                    respond(exchange, 500);
+                }
                 case "/404" -> respond(exchange, 404);
                 default -> respond(exchange, 200);
             }
@@ -134,4 +143,20 @@
         assertThat(response.statusCode()).isEqualTo(status);
         assertThat(response.body()).isEmpty();
     }
+
+    // -- a second response
+
+    @Test
+    void shouldCutAStreamOffWhenASecondHeadFollows() throws IOException {
+        assertThat(send("GET /second-head HTTP/1.1\r\n\r\n"))
+                .endsWith("data: 1\n\n\r\n")
+                .containsOnlyOnce("HTTP/1.1");
+    }
+
+    @Test
+    void shouldSendOnlyTheFirstOfTwoResponses() throws IOException {
+        assertThat(send("GET /second-response HTTP/1.1\r\n\r\n" + LAST_REQUEST))
+                .endsWith("\r\n\r\ntext" + LAST_RESPONSE)
+                .doesNotContain("HTTP/1.1 500");
+    }
 }
