Bytes behind a response are no head that breaks off

The end of a connection that carries bytes after a response was a broken-off head to the decoder, though nothing is awaited then.

--- a/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
@@ -102,7 +102,7 @@
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         super.decodeLast(context, buffer, out);
-        if (!failed && inHead && buffer.isReadable()) {
+        if (!failed && !paused && inHead && buffer.isReadable()) {
             fail(ResponseHeadFault.BROKEN_OFF, buffer, out);
         }
     }
