--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -91,27 +91,41 @@
      *     only for a first attempt, if there is no other; empty if there is none
      */
     public Optional<ServerState> choose(ServerDirectory directory, ServerQuery query, long nowNanos) {
-        List<ServerState> eligible = withinLimit(directory, query, nowNanos);
-        List<ServerState> available =
-                eligible.stream().filter(state -> isAvailable(state, nowNanos)).toList();
+        List<Candidate> sendable = sendable(directory, query, nowNanos);
+        List<ServerState> available = available(sendable);
         return cheapest(available.stream().filter(state -> hasRoom(state, query)), query)
                 .or(() -> cheapest(available.stream(), query))
-                .or(() -> query.excluded().isEmpty() ? cheapest(eligible.stream(), query) : Optional.empty());
+                .or(() -> query.excluded().isEmpty()
+                        ? cheapest(sendable.stream().map(Candidate::state), query)
+                        : Optional.empty());
     }
 
     /**
-     * Returns the eligible servers whose limit is not reached. A server that names a limit is in need, so a request
-     * that may burden it more than others do goes there only if there is no other server.
+     * Returns the servers to which the request may be sent. A server that names a limit is in need, so a request that
+     * may burden it more than others do goes there only if there is no other server.
      */
-    private static List<ServerState> withinLimit(ServerDirectory directory, ServerQuery query, long nowNanos) {
-        List<ServerState> withinLimit = eligible(directory, query)
-                .filter(state -> state.limit().hasRoom(directory.entryShare(), query.yielding(), nowNanos))
+    private static List<Candidate> sendable(ServerDirectory directory, ServerQuery query, long nowNanos) {
+        List<Candidate> sendable = candidates(directory, query, nowNanos)
+                .filter(candidate -> !candidate.decision().forbidsSending())
                 .toList();
         boolean burdening = query.fewestRequests() || !query.excluded().isEmpty();
-        List<ServerState> unlimited = withinLimit.stream()
-                .filter(state -> !state.limit().isNamed() && isAvailable(state, nowNanos))
+        List<Candidate> unlimited = sendable.stream()
+                .filter(candidate -> !candidate.state().limit().isNamed())
+                .filter(Candidate::isAvailable)
                 .toList();
-        return burdening && !unlimited.isEmpty() ? unlimited : withinLimit;
+        return burdening && !unlimited.isEmpty() ? unlimited : sendable;
+    }
+
+    private static List<ServerState> available(List<Candidate> sendable) {
+        return sendable.stream()
+                .filter(Candidate::isAvailable)
+                .map(Candidate::state)
+                .toList();
+    }
+
+    private static Stream<Candidate> candidates(ServerDirectory directory, ServerQuery query, long nowNanos) {
+        return directory.activeServers(query.service()).stream()
+                .map(state -> new Candidate(state, SendDecision.of(directory, state, query, nowNanos)));
     }
 
     /**
@@ -124,8 +138,10 @@
      *     reached its limit
      */
     public Optional<Duration> timeUntilWithinLimit(ServerDirectory directory, ServerQuery query, long nowNanos) {
-        return eligible(directory, query)
-                .map(state -> state.limit().timeUntilRoom(directory.entryShare(), query.yielding(), nowNanos))
+        return candidates(directory, query, nowNanos)
+                .filter(candidate -> candidate.decision() == SendDecision.LIMIT_REACHED)
+                .map(candidate ->
+                        candidate.state().limit().timeUntilRoom(directory.entryShare(), query.yielding(), nowNanos))
                 .filter(time -> !time.isZero())
                 .min(Comparator.naturalOrder());
     }
@@ -136,12 +152,15 @@
      *
      * @param directory the known servers
      * @param query the request's requirements
+     * @param nowNanos the current time, from {@link System#nanoTime}
      * @return the number of requests a second of this entry and the peers that it hears; infinite if a server names no
      *     limit
      */
-    public double limitedRate(ServerDirectory directory, ServerQuery query) {
-        return eligible(directory, query)
-                .mapToDouble(state -> state.limit().usedRate(directory.entryShare()))
+    public double limitedRate(ServerDirectory directory, ServerQuery query, long nowNanos) {
+        return candidates(directory, query, nowNanos)
+                .filter(candidate -> candidate.decision() == SendDecision.LIMIT_REACHED
+                        || !candidate.decision().forbidsSending())
+                .mapToDouble(candidate -> candidate.state().limit().usedRate(directory.entryShare()))
                 .sum();
     }
 
@@ -156,9 +175,7 @@
      * @return true if engines are available but none has room; always false for a request without a prompt
      */
     public boolean isOverloaded(ServerDirectory directory, ServerQuery query, long nowNanos) {
-        List<ServerState> available = withinLimit(directory, query, nowNanos).stream()
-                .filter(state -> isAvailable(state, nowNanos))
-                .toList();
+        List<ServerState> available = available(sendable(directory, query, nowNanos));
         return query.prompt().isPresent()
                 && !available.isEmpty()
                 && available.stream().noneMatch(state -> hasRoom(state, query));
@@ -175,12 +192,6 @@
                 && load.prefillWait().compareTo(query.targetLatency()) <= 0;
     }
 
-    private static Stream<ServerState> eligible(ServerDirectory directory, ServerQuery query) {
-        return directory.activeServers(query.service()).stream()
-                .filter(state -> !query.excluded().contains(state.server().id()))
-                .filter(state -> hasRequiredWeights(state, query));
-    }
-
     private Optional<ServerState> cheapest(Stream<ServerState> servers, ServerQuery query) {
         List<ServerState> candidates = servers.toList();
         Optional<ServerState> preferred = rendezvousServer(candidates, query);
@@ -201,16 +212,6 @@
                 : byCost;
     }
 
-    private static boolean hasRequiredWeights(ServerState state, ServerQuery query) {
-        return query.prompt()
-                .map(scoped -> state.weightsVersion(scoped.prompt().model()).orElse(0) >= query.minWeightsVersion())
-                .orElse(true);
-    }
-
-    private static boolean isAvailable(ServerState state, long nowNanos) {
-        return !state.reachability().isSuspended(nowNanos) && !state.isLoading(nowNanos);
-    }
-
     /** Returns the cost in milliseconds, without the rendezvous gain and the random cost that breaks ties. */
     private static double cost(ServerState state, ServerQuery query) {
         boolean sameDomain = state.server().failureDomain().equals(query.failureDomain());
@@ -274,6 +275,12 @@
                 .getAsLong();
     }
 
+    private record Candidate(ServerState state, SendDecision decision) {
+        boolean isAvailable() {
+            return decision == SendDecision.SEND;
+        }
+    }
+
     private record ScoredServer(ServerState state, double costMs) {
         ScoredServer withGain(double gainMs) {
             return new ScoredServer(state, costMs - gainMs);
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -51,4 +51,28 @@
         requireNonNull(targetLatency, "targetLatency is null");
         excluded = Set.copyOf(excluded);
     }
+
+    // -- combinators
+
+    /**
+     * Returns the requirements of the same request when it goes on at the server that holds a backup of its memory. It
+     * then belongs to the run that has begun: that run's weights were allowed, and its place was given to its customer.
+     *
+     * @return a new query
+     */
+    public ServerQuery asResumptionAtBackup() {
+        return new ServerQuery(
+                service,
+                failureDomain,
+                requestBytes,
+                prompt,
+                newestWeightsVersion,
+                0,
+                firstUnsavedSegment,
+                targetLatency,
+                fetchable,
+                Set.of(),
+                fewestRequests,
+                false);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -12,6 +12,7 @@
 import java.util.function.ToLongFunction;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ScopedPrompt;
+import org.geraniumford.core.fleet.SendDecision;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerQuery;
@@ -83,6 +84,12 @@
         return gateway.chooser().choose(gateway.state().directory(), query, System.nanoTime());
     }
 
+    /** Decides whether the stream may go on at the server that holds the backup of its memory. */
+    SendDecision decideResumptionAt(ServerState backup) {
+        ServerQuery query = query(Set.of(), false).asResumptionAtBackup();
+        return SendDecision.of(gateway.state().directory(), backup, query, System.nanoTime());
+    }
+
     /** Records that the request is sent to a server, on whatever way. */
     void recordUse(ServerState server) {
         if (server.limit().isNamed()) {
@@ -102,7 +109,7 @@
         long nowNanos = System.nanoTime();
         ServerQuery query = query(attemptedServers, false);
         ServerDirectory directory = gateway.state().directory();
-        double entryRate = gateway.chooser().limitedRate(directory, query)
+        double entryRate = gateway.chooser().limitedRate(directory, query, nowNanos)
                 / (directory.entryShare().heardPeers() + 1);
         return gateway.chooser()
                 .timeUntilWithinLimit(directory, query, nowNanos)
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.geraniumford.core.fleet.SendDecision;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
 import org.geraniumford.core.forward.ForwardMachine;
@@ -198,16 +199,17 @@
     }
 
     /**
-     * Resumes the stream at the engine that holds the backup. Aborts the stream if the engine has loaded other weights
-     * since, because they make the KV memory useless.
+     * Resumes the stream at the engine that holds the backup. Aborts the stream if that engine may not be sent the
+     * request now, or has loaded other weights since, because they make the KV memory useless.
      */
     private void resumeAtBackup(ServerState backup) {
         if (!planner.weightsVersion(backup).equals(backupWeightsVersion)) {
             abortStream("copy_of_other_weights");
             return;
         }
-        if (!gateway.state().serverLimits().hasRoom(backup)) {
-            abortStream(Reason.SERVER_LIMIT_REACHED.label());
+        SendDecision decision = planner.decideResumptionAt(backup);
+        if (decision.forbidsSending()) {
+            abortStream("copy_" + decision.label());
             return;
         }
         attemptedServers.add(backup.server().id());
