The limit of a head doesn't depend on how its bytes arrive

What callers saw: a head of exactly 16 KB, without the empty line at its end, was read when it came whole and refused as too large when its bytes came one at a time.

Change: it is refused once the bytes of the largest head and of its end have arrived without that end.

--- a/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
@@ -123,7 +123,7 @@
             fail(ResponseHeadFault.LINE_END, buffer, out);
         } else if (length > 0) {
             decodeWholeHead(length, context, buffer, out);
-        } else if (searchedBytes > MAX_HEAD_BYTES + END_OF_HEAD_BYTES) {
+        } else if (searchedBytes >= MAX_HEAD_BYTES + END_OF_HEAD_BYTES) {
             fail(ResponseHeadFault.TOO_LARGE, buffer, out);
         }
     }
--- a/transport/src/test/java/org/geraniumford/transport/response/StrictResponseDecoderTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/response/StrictResponseDecoderTest.java
@@ -245,6 +245,13 @@
         assertThat(DecodedResponses.of(OK + line + END).soundHeads()).containsExactly(OK + "Name: value");
     }
 
+    @Test
+    void shouldPassOnAHeadWhenItIsAsLargeAsTheLimit() {
+        String head = headOfSize(StrictResponseDecoder.MAX_HEAD_BYTES);
+        assertThat(DecodedResponses.of(head + END).soundHeads()).containsExactly(head);
+        assertThat(DecodedResponses.ofSingleBytes(head + END).soundHeads()).containsExactly(head);
+    }
+
     // -- responses after each other
 
     @Test
