Nothing is decoded after a trailer that cannot be believed

What callers saw: after a trailer that held a status line, StrictResponseDecoder went on to decode the next response, or reported a second fault. Both clients close the connection at the first one, so that no wrong answer was seen.

Cause: only a fault of a head ended the decoding, not one of a trailer, nor one that Netty's decoder finds.

Change: each message whose decoder result is a failure ends it.

Measured: two of the three cases of StrictResponseDecoderTest.shouldDecodeNothingAfterATrailerThatHoldsAStatusLine failed before; 231 of 231 tests of the class pass. CutHeadTest 31 of 31, CutHeadOfBackendTest 115 of 115, BackendReadersTest 19 of 19 with it.

--- a/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/StrictResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
@@ -13,8 +14,8 @@
 
 /**
  * Decodes responses whose heads are sound. A head is read only once it is whole; one that is not sound is passed on as
- * a message whose decoder result is a {@link ResponseHeadException}, and nothing is decoded after it. The fields of a
- * trailer are checked like those of a head.
+ * a message whose decoder result is a {@link ResponseHeadException}. The fields of a trailer are checked like those of
+ * a head. Nothing is decoded after a fault, whether this decoder or Netty's finds it.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
     /** The maximum size of a head, and separately of a trailer, in bytes. */
@@ -169,6 +170,7 @@
                 inHead = true;
                 checkTrailer(last);
             }
+            failed = failed || ((HttpObject) out.get(i)).decoderResult().isFailure();
         }
     }
 
--- a/transport/src/test/java/org/geraniumford/transport/response/StrictResponseDecoderTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/response/StrictResponseDecoderTest.java
@@ -320,4 +320,18 @@
         assertThat(decoded.failures()).hasSize(1);
         assertThat(decoded.complete()).isZero();
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 500 Failed", "SuHTTP/1.1 500 Failed\r\nName: a", "Sum: HTTP/1.1 500 Failed"})
+    void shouldDecodeNothingAfterATrailerThatHoldsAStatusLine(String trailer) {
+        for (DecodedResponses decoded : List.of(
+                DecodedResponses.of(chunked(trailer) + WHOLE, WHOLE),
+                DecodedResponses.ofSingleBytes(chunked(trailer) + WHOLE))) {
+            decoded.close();
+            assertThat(decoded.failures()).hasSize(1);
+            assertThat(decoded.statuses()).containsExactly(200);
+            assertThat(decoded.body()).isEqualTo("ok");
+            assertThat(decoded.complete()).isZero();
+        }
+    }
 }
