--- a/transport/src/test/java/org/geraniumford/transport/response/StrictResponseDecoderTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/response/StrictResponseDecoderTest.java
@@ -135,10 +135,24 @@
 
     @Test
     void shouldHaveAnExampleOfEachFault() {
-        assertThat(unsoundHeads().map(arguments -> arguments.get()[0]).distinct())
+        Stream<Object> ofWholeHeads = unsoundHeads().map(arguments -> arguments.get()[0]);
+        assertThat(Stream.concat(ofWholeHeads, Stream.of(ResponseHeadFault.BROKEN_OFF))
+                        .distinct())
                 .containsExactlyInAnyOrder((Object[]) ResponseHeadFault.values());
     }
 
+    @Test
+    void shouldPassOnThatAHeadIsBrokenOffWhenItsConnectionEndsWithinIt() {
+        String head = OK + "Name: value\r\n";
+        for (int length = 1; length <= head.length(); length++) {
+            DecodedResponses decoded = DecodedResponses.of(head.substring(0, length));
+            assertThat(decoded.faults()).isEmpty();
+            decoded.close();
+            assertThat(decoded.faults()).containsExactly(ResponseHeadFault.BROKEN_OFF);
+            assertThat(decoded.complete()).isZero();
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("unsoundHeads")
     void shouldDecodeNothingAfterAFault(ResponseHeadFault fault, String head) {
