A server that says when it wants requests again gets none before

What callers and servers saw: Retry-After of a server's 503 was not read. In a 500 the server's own field reached the caller.

SendDecision has PAUSED, so the first attempt, retries, resumptions, the choice of a backup and the resumption at it keep to it; so do orders and reports, and a request that waits for its connection when the pause comes. If the servers that could run a request are paused, it is refused at once as not run (server_paused) with the earliest end. A pause survives that the server is taken off the list and listed again. The server's Retry-After is not passed on.

RetryPolicyTest names the new reason among those that are final; its checks are the same.

Not tested at the socket: orders and reports, a request that waits for its connection, the backup.

--- a/core/src/main/java/org/geraniumford/core/fleet/SendDecision.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/SendDecision.java
@@ -42,6 +42,13 @@
                     .isPresent();
         }
     },
+    /** The server asked for a pause that lasts, or after which others have just returned. */
+    PAUSED(true) {
+        @Override
+        boolean applies(ServerDirectory directory, ServerState state, ServerQuery query, long nowNanos) {
+            return state.pause().isPaused(nowNanos);
+        }
+    },
     /** The server has reached the limit that it names, or the next place there is another customer's. */
     LIMIT_REACHED(true) {
         @Override
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -146,6 +146,24 @@
                 .min(Comparator.naturalOrder());
     }
 
+    /**
+     * Returns when a request may be sent that only servers could run which asked for a pause.
+     *
+     * @param directory the known servers
+     * @param query the request's requirements
+     * @param nowNanos the current time, from {@link System#nanoTime}
+     * @return the time until the first pause ends; empty if a server may be sent the request, or none is paused
+     */
+    public Optional<Duration> timeUntilPauseEnds(ServerDirectory directory, ServerQuery query, long nowNanos) {
+        List<Candidate> candidates = candidates(directory, query, nowNanos).toList();
+        return candidates.stream().allMatch(candidate -> candidate.decision().forbidsSending())
+                ? candidates.stream()
+                        .filter(candidate -> candidate.decision() == SendDecision.PAUSED)
+                        .map(candidate -> candidate.state().pause().timeLeft(nowNanos))
+                        .min(Comparator.naturalOrder())
+                : Optional.empty();
+    }
+
     /**
      * Returns the rate at which the entries may send to the servers that could run a request, if all of them name
      * limits.
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
@@ -29,6 +29,9 @@
     private final Map<String, PeerLoads> peerLoads = new HashMap<>();
     private final Map<String, Long> missingSinceNanos = new HashMap<>();
     private final Map<String, Long> leavingIncarnations = new HashMap<>();
+    /** The servers that are no longer listed, but asked for a pause that still matters. */
+    private final Map<String, ServerState> removedInPause = new HashMap<>();
+
     private final Function<String, Optional<EngineSpec>> engineSpecs;
     private EntryShare entryShare = EntryShare.unknown();
     private long outageEndNanos;
@@ -231,7 +234,11 @@
             known.updateServer(server);
         } else {
             Optional<EngineSpec> engineSpec = engineSpecs.apply(server.service());
-            byId.put(server.id(), ServerState.of(server, engineSpec, peerLoads(server.id())));
+            ServerState state = ServerState.of(server, engineSpec, peerLoads(server.id()));
+            Optional.ofNullable(removedInPause.remove(server.id()))
+                    .filter(earlier -> earlier.server().incarnation() == server.incarnation())
+                    .ifPresent(state::takePause);
+            byId.put(server.id(), state);
         }
     }
 
@@ -248,11 +255,18 @@
                 missingSinceNanos.putIfAbsent(id, nowNanos);
             }
         } else {
-            byId.remove(id);
+            remove(id, nowNanos);
             missingSinceNanos.remove(id);
         }
     }
 
+    private void remove(String id, long nowNanos) {
+        ServerState removed = byId.remove(id);
+        if (removed != null && removed.pause().isRemembered(nowNanos)) {
+            removedInPause.put(id, removed);
+        }
+    }
+
     /**
      * Applies the complete server list; servers missing from it are removed as by {@link #deregister}.
      *
@@ -285,8 +299,9 @@
      */
     public void expire(long nowNanos) {
         if (!missingSinceNanos.isEmpty() && nowNanos - outageEndNanos >= REREGISTRATION_GRACE.toNanos()) {
-            missingSinceNanos.keySet().forEach(byId::remove);
+            missingSinceNanos.keySet().forEach(id -> remove(id, nowNanos));
             missingSinceNanos.clear();
         }
+        removedInPause.values().removeIf(state -> !state.pause().isRemembered(nowNanos));
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -25,6 +25,7 @@
     private final PeerLoads peerLoads;
     private final Reachability reachability = Reachability.unknown();
     private final ServerLimit limit = ServerLimit.none(ThreadLocalRandom.current());
+    private ServerPause pause = ServerPause.none(ThreadLocalRandom.current());
     private double failureRate;
     private long loadingUntilNanos;
     private boolean loading;
@@ -175,6 +176,15 @@
         return limit;
     }
 
+    /**
+     * Returns the pause that the server asked for.
+     *
+     * @return the pause, which is mutable
+     */
+    public ServerPause pause() {
+        return pause;
+    }
+
     /**
      * Returns whether the server is assumed to be loading weights, during which it runs no requests.
      *
@@ -187,6 +197,11 @@
 
     // -- commands
 
+    /** Takes over the pause that the same incarnation asked for before it was listed again. */
+    void takePause(ServerState earlier) {
+        pause = earlier.pause;
+    }
+
     /**
      * Records that the server was ordered to load weights.
      *
--- a/core/src/main/java/org/geraniumford/core/verdict/Reason.java
+++ b/core/src/main/java/org/geraniumford/core/verdict/Reason.java
@@ -60,6 +60,8 @@
     REQUEST_QUARANTINED(503, true),
     /** Every backend server that could serve the request has reached the limit that it names. */
     SERVER_LIMIT_REACHED(503, true),
+    /** Every backend server that could serve the request asked for a pause. */
+    SERVER_PAUSED(503, true),
     /** The engine restarted since it was chosen. */
     STALE_INCARNATION(503, true),
     /** The engine serves other weights than the request requires. */
--- a/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
@@ -74,7 +74,7 @@
             }
             int events = random.nextInt(4);
             for (int event = 0; event < events; event++) {
-                applying.add(apply(state, random.nextInt(5)));
+                applying.add(apply(state, random.nextInt(6)));
             }
             SendDecision expected = applying.stream().min(Enum::compareTo).orElse(SendDecision.SEND);
             assertThat(decide(state, query(attempted ? Set.of("server") : Set.of())))
@@ -103,6 +103,10 @@
                 state.markLoading(NOW_NANOS + 1);
                 return SendDecision.LOADING;
             }
+            case 4 -> {
+                state.pause().ask(Duration.ofMillis(1), NOW_NANOS);
+                return SendDecision.PAUSED;
+            }
             default -> {
                 state.reachability().recordUnreachable(NOW_NANOS);
                 return SendDecision.SUSPENDED;
--- a/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
@@ -43,6 +43,7 @@
             Reason.SEGMENT_QUARANTINED,
             Reason.REQUEST_QUARANTINED,
             Reason.SERVER_LIMIT_REACHED,
+            Reason.SERVER_PAUSED,
             Reason.TOKEN_USED,
             Reason.CALLER_GONE,
             Reason.SLOW_READER,
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -114,6 +114,12 @@
             endWithFailure(new AttemptFailure.Unreachable(), Reason.WRONG_WEIGHTS);
             return;
         }
+        if (server.pause().lasts(System.nanoTime())) {
+            newConnection.abort();
+            detail = "the server asked for a pause before it was sent";
+            endWithFailure(new AttemptFailure.Unreachable(), Reason.SERVER_PAUSED);
+            return;
+        }
         connection = newConnection;
         sentNanos = System.nanoTime();
         newConnection.send(request.gateway().encode(request.exchange(), dispatch.withTimeLeft(timeLeft)), this);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -92,6 +92,7 @@
 
     /** Records that the request is sent to a server, on whatever way. */
     void recordUse(ServerState server) {
+        server.pause().recordSent(System.nanoTime());
         if (server.limit().isNamed()) {
             serverLimits().recordUse(server);
             serverLimits().turns(admitted.service()).recordUse(customerName(), System.nanoTime());
@@ -119,6 +120,20 @@
                 .map(DispatchPlanner::limitReached);
     }
 
+    /**
+     * Returns the refusal of a request that only servers could run which asked for a pause; empty if that is not so.
+     */
+    Optional<Refusal> refuseByPause() {
+        return gateway.chooser()
+                .timeUntilPauseEnds(gateway.state().directory(), query(Set.of(), false), System.nanoTime())
+                .map(untilEnd -> Refusal.notRun(Reason.SERVER_PAUSED, "every server asked for a pause")
+                        .withRetryAfter(atLeastShortest(untilEnd)));
+    }
+
+    private static Duration atLeastShortest(Duration wait) {
+        return wait.compareTo(Refusal.MIN_RETRY_AFTER) < 0 ? Refusal.MIN_RETRY_AFTER : wait.plusMillis(1);
+    }
+
     private static Refusal limitReached(Duration wait) {
         Duration retryAfter = wait.compareTo(Refusal.MIN_RETRY_AFTER) < 0 ? Refusal.MIN_RETRY_AFTER : wait;
         return Refusal.notRun(Reason.SERVER_LIMIT_REACHED, "every server has reached the limit that it names")
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -224,6 +224,7 @@
             refuse(Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "no other server"));
         } else {
             refuse(planner.refuseByLimit(attemptedServers)
+                    .or(planner::refuseByPause)
                     .orElseGet(
                             () -> Refusal.notRun(Reason.NO_BACKEND, "no server").withRetryAfter(RETRY_AFTER)));
         }
@@ -256,7 +257,9 @@
                 resumeAtBackup(backupServer.orElseThrow());
             }
             case PASS_ERROR_ON -> forwardResponse(ended.takeFullResponse());
-            case REFUSE -> refuse(Refusal.notRun(reason, "not run").withRetryAfter(RETRY_AFTER));
+            case REFUSE ->
+                refuse(planner.refuseByPause()
+                        .orElseGet(() -> Refusal.notRun(reason, "not run").withRetryAfter(RETRY_AFTER)));
             case FAIL -> refuse(Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "the server failed"));
             case CUT_OFF -> abortStream(reason.label());
             default -> throw new IllegalStateException("no case for " + step);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
@@ -84,12 +84,19 @@
      */
     boolean saysLeaving(HttpResponse head);
 
+    /**
+     * Returns what a rejection says of the time for which its server wants no other requests.
+     *
+     * @param head the head of the response
+     * @return the pause that it asks for
+     */
+    ServerPauseField serverPause(HttpResponse head);
+
     /**
      * Builds the head of the caller's response from that of the backend server.
      *
      * @param head the head that the backend server sent
-     * @return a head without the length of the body and without the fields that apply only to the connection to the
-     *     backend server
+     * @return a head without the length of the body and without the fields that are meant for this entry only
      */
     HttpResponse forwardHead(HttpResponse head);
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ServerFields.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ServerFields.java
@@ -35,6 +35,11 @@
         if (kind != ResponseKind.UNTRUSTED) {
             applyLeaving(head);
         }
+        if (kind == ResponseKind.NOT_RUN) {
+            gateway.state()
+                    .serverAvailability()
+                    .applyPause(server.server(), gateway.protocol().serverPause(head), requestId);
+        }
     }
 
     /** Applies the head of an interim response. */
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -74,6 +74,7 @@
                 .filter(server -> !pendingServers.contains(server.server().id()))
                 .filter(server ->
                         !server.reachability().isSuspended(System.nanoTime()) && !server.isLoading(System.nanoTime()))
+                .filter(server -> !server.pause().isPaused(System.nanoTime()))
                 .filter(server -> lease.canOrder(server.server().id(), host, storeNowMillis, orderSpacing))
                 .map(server -> candidate(server, model))
                 .toList();
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -133,7 +133,7 @@
     void poll() {
         if (server.weightsVersion(intent.model()).orElse(0) >= intent.version()) {
             complete("listed");
-        } else if (isReportDue() && limits.hasRoom(server)) {
+        } else if (isReportDue() && limits.hasRoom(server) && !server.pause().isPaused(System.nanoTime())) {
             requestReport().thenAccept(this::completeIfLoaded);
         }
     }
