Pending prefill counts by priority, and a server has a speed of its own

Every request was believed to wait for all prompts that a server has yet to prefill, and each server to prefill 100 tokens per millisecond. Engines serve more urgent requests first, and their speeds differ. ServerLoad counts pending tokens by priority, ServerState.prefillWait takes the priority of the request, and ServerSpeed holds the one constant that stood in ServerLoad.

ServerChooserTest and SendDecisionTest pass a priority of 0; no expectation changed.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -207,7 +207,7 @@
         boolean capacityUnknown = state.kvCapacityTokens() == 0;
         return load.running() < state.server().slots()
                 && (capacityUnknown || load.reservedTokens() <= USABLE_MEMORY_FRACTION * state.kvCapacityTokens())
-                && load.prefillWait().compareTo(query.targetLatency()) <= 0;
+                && state.prefillWait(query.priority()).compareTo(query.targetLatency()) <= 0;
     }
 
     private Optional<ServerState> cheapest(Stream<ServerState> servers, ServerQuery query) {
@@ -258,8 +258,8 @@
                 - state.weightsVersion(prompt.model()).orElse(0);
         boolean isFull = load.running() >= state.server().slots()
                 || load.reservedTokens() + prompt.totalTokens() > USABLE_MEMORY_FRACTION * state.kvCapacityTokens();
-        double prefillMs = prefillTokens / ServerLoad.PREFILL_TOKENS_PER_MS;
-        return load.prefillWait().toMillis()
+        double prefillMs = state.speed().prefillMillis(prefillTokens);
+        return state.prefillWait(query.priority()).toMillis()
                 + prefillMs
                 + INTERFERENCE_WEIGHT * prefillMs * load.running()
                 + RUNNING_REQUEST_COST_MS * load.running()
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -26,6 +26,7 @@
  * @param fetchable whether engines can fetch uncached shared segments from the cache store
  * @param excluded the names of the servers that must not be chosen, because the request has or had an attempt there;
  *     empty only for the choice of the first attempt
+ * @param priority the priority of the request; 0 is the most urgent
  * @param fewestRequests whether the server with the fewest requests is preferred, because it may end under the request
  * @param yielding whether the request leaves the next place at a server with a limit to another customer
  */
@@ -40,6 +41,7 @@
         Duration targetLatency,
         boolean fetchable,
         Set<String> excluded,
+        int priority,
         boolean fewestRequests,
         boolean yielding) {
     /** Checks and copies the components. */
@@ -72,6 +74,7 @@
                 targetLatency,
                 fetchable,
                 Set.of(),
+                priority,
                 fewestRequests,
                 false);
     }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -123,6 +124,25 @@
         return localLoad.plus(peerLoads.total());
     }
 
+    /**
+     * Returns how fast the server works.
+     *
+     * @return the speed that is estimated now
+     */
+    public ServerSpeed speed() {
+        return ServerSpeed.UNKNOWN;
+    }
+
+    /**
+     * Estimates how long a new request waits until the server has prefilled the prompts before it.
+     *
+     * @param priority the priority of the new request; more urgent prompts and those of the same priority are before it
+     * @return the time to prefill the pending tokens of all entries; zero if there are none
+     */
+    public Duration prefillWait(int priority) {
+        return speed().prefillTime(totalLoad().pendingPrefillTokens(priority));
+    }
+
     /**
      * Returns the fraction of recent attempts at the server that failed; rejections and cancelled attempts are not
      * counted.
@@ -274,18 +294,22 @@
      * @param reservedTokens the KV memory that the request needs for its prompt and the maximum number of output
      *     tokens, in tokens; 0 without a prompt
      * @param prefillTokens the estimated number of prompt tokens that the server has to prefill
+     * @param priority the priority of the request
      */
-    public void recordAttemptStart(long reservedTokens, long prefillTokens) {
-        localLoad = localLoad.plus(new ServerLoad(server.id(), 1, reservedTokens, prefillTokens));
+    public void recordAttemptStart(long reservedTokens, long prefillTokens, int priority) {
+        localLoad = localLoad
+                .plus(new ServerLoad(server.id(), 1, reservedTokens, 0))
+                .plus(ServerLoad.pending(server.id(), priority, prefillTokens));
     }
 
     /**
      * Records that the prefill of a request has ended, or that the request ended before its prefill did.
      *
      * @param prefillTokens the number of tokens that {@link #recordAttemptStart} recorded for the request
+     * @param priority the priority of the request
      */
-    public void recordPrefilled(long prefillTokens) {
-        localLoad = localLoad.plus(new ServerLoad(server.id(), 0, 0, -prefillTokens));
+    public void recordPrefilled(long prefillTokens, int priority) {
+        localLoad = localLoad.minus(ServerLoad.pending(server.id(), priority, prefillTokens));
     }
 
     /**
--- a/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
@@ -49,6 +49,7 @@
                 Duration.ofMillis(400),
                 false,
                 excluded,
+                0,
                 false,
                 false);
     }
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -55,6 +55,7 @@
                 TARGET_LATENCY,
                 false,
                 excluded,
+                0,
                 false,
                 false);
     }
@@ -95,6 +96,7 @@
                 TARGET_LATENCY,
                 true,
                 Set.of(),
+                0,
                 false,
                 false);
         assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-2");
@@ -125,6 +127,7 @@
                 TARGET_LATENCY,
                 false,
                 Set.of(),
+                0,
                 true,
                 false);
         assertThat(chosenId(query(Set.of(), 1))).isEqualTo("near-1");
@@ -152,7 +155,7 @@
         for (int i = 0; i < 20; i++) {
             ServerState state =
                     chooser.choose(directory, query(Set.of(), 2), NOW_NANOS).orElseThrow();
-            state.recordAttemptStart(PROMPT.totalTokens(), PROMPT.inputTokens());
+            state.recordAttemptStart(PROMPT.totalTokens(), PROMPT.inputTokens(), 0);
             sentToNewWeights += state.server().id().equals("near-1") ? 1 : 0;
         }
         assertThat(sentToNewWeights).isBetween(7, 13);
@@ -177,6 +180,7 @@
                     TARGET_LATENCY,
                     false,
                     Set.of(),
+                    0,
                     false,
                     false);
             ServerQuery fromThere = new ServerQuery(
@@ -190,6 +194,7 @@
                     TARGET_LATENCY,
                     false,
                     Set.of(),
+                    0,
                     false,
                     false);
             assertThat(otherChooser.choose(directory, fromThere, NOW_NANOS))
@@ -287,6 +292,7 @@
                 TARGET_LATENCY,
                 false,
                 Set.of(),
+                0,
                 false,
                 false);
         assertThat(isOverloaded(withoutPrompt)).isFalse();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
 import org.geraniumford.core.prompt.PromptSpec;
@@ -72,8 +73,7 @@
 
     boolean isSilent(long nowNanos) {
         return isSent()
-                && server.reachability()
-                        .isSilent(sentNanos, nowNanos, server.totalLoad().prefillWait());
+                && server.reachability().isSilent(sentNanos, nowNanos, server.prefillWait(ServerLoad.LEAST_URGENT));
     }
 
     String detail() {
@@ -89,7 +89,7 @@
 
     void start() {
         AttemptLog.start(request.admitted(), server, dispatch, prefillTokens);
-        server.recordAttemptStart(totalTokens, prefillTokens);
+        server.recordAttemptStart(totalTokens, prefillTokens, request.admitted().priority());
         request.planner().recordUse(server);
         prefilling = true;
         request.gateway().state().reportLoadAdded();
@@ -382,7 +382,7 @@
     private void recordPrefillEnd() {
         if (prefilling) {
             prefilling = false;
-            server.recordPrefilled(prefillTokens);
+            server.recordPrefilled(prefillTokens, request.admitted().priority());
         }
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -224,6 +224,7 @@
                 admitted.route().latencyObjective(),
                 scoped.filter(this::isFetchable).isPresent(),
                 attemptedServers,
+                admitted.priority(),
                 suspected,
                 isYielding());
     }
