Engines fetch shared segments from each other when the cache store is busy or lacks them

Each entry estimates how busy a store's link is; above half of it, or if the store does not have the prefix, an engine with the same weights that probably has it cached provides it.

--- a/core/src/main/java/org/geraniumford/core/fleet/CacheEstimate.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/CacheEstimate.java
@@ -2,11 +2,13 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Estimate of the segments in an engine's prefix cache, based on the prompts that all entries sent to it. The least
@@ -27,15 +29,28 @@
      */
     private static final int ANNOUNCED_SEGMENTS_PER_PROMPT = 2;
 
-    private final LinkedHashMap<Long, Long> tokensByKey = new LinkedHashMap<>(64, 0.75f, true);
+    /** The time after which a segment counts as prefilled: a long prompt and the wait before it. */
+    private static final Duration PREFILL_TIME = Duration.ofMillis(800);
+
+    /** The part of the capacity that may have been used after a segment that other engines fetch. */
+    private static final double PROVIDED_FRACTION = 0.6;
+
+    /** The segments in the order of their last use, the least recently used one first. */
+    private final LinkedHashMap<Long, CachedSegment> segmentsByKey = new LinkedHashMap<>(64, 0.75f, true);
+
+    private final LongSupplier nanoClock;
     private final List<ScopedSegment> unannounced = new ArrayList<>();
     private long capacityTokens;
     private long cachedTokens;
 
-    private CacheEstimate(long capacityTokens) {
+    private CacheEstimate(long capacityTokens, LongSupplier nanoClock) {
         this.capacityTokens = capacityTokens;
+        this.nanoClock = nanoClock;
     }
 
+    /** A segment with the time of {@link System#nanoTime} since which it is cached. */
+    private record CachedSegment(long tokens, long sinceNanos) {}
+
     // -- construction
 
     /**
@@ -45,7 +60,11 @@
      * @return an empty estimate
      */
     public static CacheEstimate empty(long capacityTokens) {
-        return new CacheEstimate(capacityTokens);
+        return of(capacityTokens, System::nanoTime);
+    }
+
+    static CacheEstimate of(long capacityTokens, LongSupplier nanoClock) {
+        return new CacheEstimate(capacityTokens, nanoClock);
     }
 
     // -- queries
@@ -62,13 +81,48 @@
         long leading = 0;
         for (ScopedSegment segment : segments) {
             leading += segment.tokens();
-            if (tokensByKey.containsKey(segment.key())) {
+            if (segmentsByKey.containsKey(segment.key())) {
                 cached = leading;
             }
         }
         return cached;
     }
 
+    /**
+     * Returns whether another engine can fetch the segments from this one. The estimate must be more certain than that
+     * of {@link #cachedTokens}, because a fetch that finds nothing means that the segments are prefilled once more.
+     *
+     * @param segments the segments, in order
+     * @return true if the last segment was recorded long enough ago to be prefilled now, and was used recently enough
+     *     not to be evicted by the time of the fetch
+     */
+    public boolean canProvide(List<ScopedSegment> segments) {
+        if (segments.isEmpty()) {
+            return false;
+        }
+        long key = segments.get(segments.size() - 1).key();
+        return segmentsByKey.containsKey(key)
+                && nanoClock.getAsLong() - sinceNanos(key) >= PREFILL_TIME.toNanos()
+                && tokensUsedAfter(key) <= PROVIDED_FRACTION * capacityTokens;
+    }
+
+    private long sinceNanos(long key) {
+        // An entry of the set leaves the order of use as it is, unlike a call of get.
+        return segmentsByKey.entrySet().stream()
+                .filter(entry -> entry.getKey() == key)
+                .mapToLong(entry -> entry.getValue().sinceNanos())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private long tokensUsedAfter(long key) {
+        return segmentsByKey.entrySet().stream()
+                .dropWhile(entry -> entry.getKey() != key)
+                .skip(1)
+                .mapToLong(entry -> entry.getValue().tokens())
+                .sum();
+    }
+
     /**
      * Returns the segments that are still to be announced to the other entries.
      *
@@ -106,8 +160,10 @@
     public void applyGossip(List<ScopedSegment> segments) {
         requireNonNull(segments, "segments is null");
         segments.forEach(segment -> {
-            Long previous = tokensByKey.put(segment.key(), segment.tokens());
-            cachedTokens += segment.tokens() - (previous == null ? 0 : previous);
+            CachedSegment previous = segmentsByKey.get(segment.key());
+            long sinceNanos = previous == null ? nanoClock.getAsLong() : previous.sinceNanos();
+            segmentsByKey.put(segment.key(), new CachedSegment(segment.tokens(), sinceNanos));
+            cachedTokens += segment.tokens() - (previous == null ? 0 : previous.tokens());
         });
         evict();
     }
@@ -124,15 +180,16 @@
 
     /** Removes all segments, because an engine that restarts or loads other weights drops its cache. */
     public void clear() {
-        tokensByKey.clear();
+        segmentsByKey.clear();
         unannounced.clear();
         cachedTokens = 0;
     }
 
     private void evict() {
-        Iterator<Map.Entry<Long, Long>> leastRecent = tokensByKey.entrySet().iterator();
+        Iterator<Map.Entry<Long, CachedSegment>> leastRecent =
+                segmentsByKey.entrySet().iterator();
         while (cachedTokens > capacityTokens && leastRecent.hasNext()) {
-            cachedTokens -= leastRecent.next().getValue();
+            cachedTokens -= leastRecent.next().getValue().tokens();
             leastRecent.remove();
         }
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -315,19 +315,14 @@
         }
         String scope = admitted.cacheScope(String.valueOf(weights.getAsInt()));
         ScopedPrompt scoped = scopedPrompt(prompt, weights.getAsInt());
-        Optional<String> storeAddress =
-                cacheStores().storeOf(scoped.sharedSegments()).map(CacheStore::address);
-        boolean fetchUseful = server.cache().cachedTokens(scoped.sharedSegments()) < scoped.sharedTokens();
+        Optional<String> fetchFrom = gateway.prefixTransfers().source(server, scoped);
         server.cache().recordPrefilled(scoped.segments());
         Optional<String> backUpTo = backupServer.map(backup -> backup.server().address());
         boolean saveDue = cacheStores().isSaveDue(scoped.sharedSegments(), System.nanoTime());
-        return new EngineDispatch(
-                scope,
-                weights,
-                storeAddress.filter(address -> fetchUseful),
-                storeAddress.filter(address -> saveDue),
-                backUpTo,
-                resumeFrom);
+        Optional<CacheStore> saveTo =
+                cacheStores().storeOf(scoped.sharedSegments()).filter(store -> saveDue);
+        saveTo.ifPresent(store -> gateway.prefixTransfers().recordSave(store, server, scoped));
+        return new EngineDispatch(scope, weights, fetchFrom, saveTo.map(CacheStore::address), backUpTo, resumeFrom);
     }
 
     /** Records that the prompt's segments are now saved in a cache store, if the dispatch requested this. */
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/EngineDispatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/EngineDispatch.java
@@ -10,8 +10,8 @@
  *
  * @param cacheScope the scope within which the segments of the prompt may be found in a cache
  * @param weightsVersion the version of the weights that the engine must have loaded; empty if it is not known
- * @param fetchFrom the address of the cache store from which the engine may fetch segments, IP:PORT; empty if it
- *     fetches none
+ * @param fetchFrom the address of the cache store or engine from which the engine may fetch segments, IP:PORT; empty if
+ *     it fetches none
  * @param saveTo the address of the cache store in which the engine saves the segments that it prefills, IP:PORT; empty
  *     if it saves none
  * @param backUpTo the address of the engine to which the KV memory of the request is copied as it grows, IP:PORT; empty
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -49,6 +49,7 @@
     private final ResponseMemory responseMemory;
     private final RandomGenerator random;
     private final ServerChooser chooser;
+    private final PrefixTransfers prefixTransfers;
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Set<ForwardedRequest> activeRequests = new HashSet<>();
     private boolean refusing;
@@ -74,6 +75,7 @@
         this.random = random;
         this.pool = ConnectionPool.of(loop);
         this.chooser = ServerChooser.of(random);
+        this.prefixTransfers = PrefixTransfers.of(state, random);
     }
 
     // -- construction
@@ -308,6 +310,10 @@
         return chooser;
     }
 
+    PrefixTransfers prefixTransfers() {
+        return prefixTransfers;
+    }
+
     FullHttpRequest encode(CallerExchange exchange, Dispatch dispatch) {
         return protocol.encode(exchange.request(), dispatch);
     }
