Estimate the speed of each server from its responses

Every engine counted as prefilling 100 tokens per ms, so queues were estimated too short and slow engines got as much work as fast ones.

An entry now measures tokens per ms and ms per step of an engine, and ms per request of a plain service. The speed is the median of the samples of all entries, whose weight halves every 4 s; with fewer than 5 samples the median of the service's other servers is used, and without these the former constant. Entries announce only what they measured themselves, when it changed by more than a tenth and in complete messages.

LinearFit of the sidecar's cost model is not reused: an entry of a large deployment sees one response of an engine in 8 s, and the fit needs about 20 samples and follows single outliers.

SpeedEstimateTest (10 tests) passes: convergence within a tenth at 10 to 90 tokens per ms, outliers, cold start, a slow spell, a new incarnation, the median start, the weighting and the silence of gossip. The share of slow engines in a queue is not tested in this commit.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.geraniumford.core.prompt.PromptSpec;
@@ -16,9 +17,12 @@
  * in progress, and no advantage outweighs a long queue.
  */
 public final class ServerChooser {
-    /** The time that each running request adds to one step of the engine. */
+    /** The cost of each running request at an engine whose time per step is not known. */
     private static final double RUNNING_REQUEST_COST_MS = 1.0;
 
+    /** The cost of each running request in steps of the engine: 1 ms at a step of 6 ms. */
+    private static final double RUNNING_REQUEST_COST_STEPS = 1.0 / 6;
+
     /**
      * How much the delay of other requests counts against that of the request itself. Each running request waits while
      * the engine prefills a new one. Engines with many running requests therefore get short prompts, and long prompts
@@ -242,12 +246,22 @@
                         .orElseGet(() -> plainServiceCost(state));
     }
 
-    /** Returns 1 ms for each running request, and the waiting cost of each request above the number of slots. */
+    /**
+     * Returns 1 ms for each running request, and the wait of each request above the number of slots. If the server's
+     * time per request is known, it is added, and each request that waits costs one turn of a slot.
+     */
     private static double plainServiceCost(ServerState state) {
         int running = state.totalLoad().running();
         // The request itself counts as well.
         int waiting = Math.max(0, running + 1 - state.server().slots());
-        return running + WAITING_REQUEST_COST_MS * waiting;
+        OptionalDouble requestMs = state.speed().requestMs();
+        return requestMs.isPresent()
+                ? running
+                        + requestMs.getAsDouble()
+                                * (1
+                                        + (double) waiting
+                                                / Math.max(1, state.server().slots()))
+                : running + WAITING_REQUEST_COST_MS * waiting;
     }
 
     private static double engineCost(ServerState state, ServerQuery query, ScopedPrompt scoped) {
@@ -262,12 +276,18 @@
         return state.prefillWait(query.priority()).toMillis()
                 + prefillMs
                 + INTERFERENCE_WEIGHT * prefillMs * load.running()
-                + RUNNING_REQUEST_COST_MS * load.running()
+                + runningCostMs(state.speed()) * load.running()
                 + (versionsBehind > 0 ? OLD_WEIGHTS_COST_MS : 0)
                 + OLD_WEIGHTS_COST_MS_PER_OUTPUT_TOKEN * versionsBehind * prompt.maxOutputTokens()
                 + (isFull ? PREEMPTION_COST_MS : 0);
     }
 
+    private static double runningCostMs(ServerSpeed speed) {
+        return speed.stepMs().isPresent()
+                ? RUNNING_REQUEST_COST_STEPS * speed.stepMs().getAsDouble()
+                : RUNNING_REQUEST_COST_MS;
+    }
+
     /**
      * Finds the server that prefills the request's first unsaved segment for all entries. Entries find the same server
      * if the same servers are available to them.
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerGossip.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerGossip.java
@@ -10,14 +10,20 @@
  * @param loads the sender's load on backend servers; if it is complete, without idle servers
  * @param leaving the backend servers that the sender recently saw leaving
  * @param limits the limits that backend servers name, with what the sender uses of them
+ * @param speeds the speeds of backend servers as the sender measured them; if it is complete, all of them
  */
 public record ServerGossip(
-        boolean complete, List<ServerLoad> loads, List<LeavingServer> leaving, List<ServerLimitUse> limits) {
+        boolean complete,
+        List<ServerLoad> loads,
+        List<LeavingServer> leaving,
+        List<ServerLimitUse> limits,
+        List<SpeedAnnouncement> speeds) {
     /** Copies the lists. */
     public ServerGossip {
         loads = List.copyOf(loads);
         leaving = List.copyOf(leaving);
         limits = List.copyOf(limits);
+        speeds = List.copyOf(speeds);
     }
 
     // -- construction
@@ -28,6 +34,6 @@
      * @return empty lists
      */
     public static ServerGossip empty() {
-        return new ServerGossip(true, List.of(), List.of(), List.of());
+        return new ServerGossip(true, List.of(), List.of(), List.of(), List.of());
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerSpeed.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerSpeed.java
@@ -1,27 +1,47 @@
 package org.geraniumford.core.fleet;
 
+import static java.util.Objects.requireNonNull;
+
 import java.time.Duration;
+import java.util.OptionalDouble;
 
 /**
- * How fast an engine prefills prompts. Immutable.
+ * How fast a server works. Immutable.
  *
  * @param prefillTokensPerMs the number of prompt tokens that the engine prefills per millisecond, above 0
+ * @param stepMs the time between two output tokens of one response, in milliseconds; empty if it is not known
+ * @param requestMs the time that a plain service takes for a request once it has a slot, in milliseconds; empty if it
+ *     is not known, and for an engine
  */
-public record ServerSpeed(double prefillTokensPerMs) {
+public record ServerSpeed(double prefillTokensPerMs, OptionalDouble stepMs, OptionalDouble requestMs) {
     /** The speed of an engine that is not known yet. */
-    public static final ServerSpeed UNKNOWN = new ServerSpeed(100);
+    public static final ServerSpeed UNKNOWN = ofPrefill(100);
 
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     /**
-     * Checks the component.
+     * Checks the components.
      *
-     * @throws IllegalArgumentException if the speed is not above 0
+     * @throws IllegalArgumentException if the speed of prefills is not above 0
      */
     public ServerSpeed {
         if (!(prefillTokensPerMs > 0)) {
             throw new IllegalArgumentException(prefillTokensPerMs + " tokens per ms");
         }
+        requireNonNull(stepMs, "stepMs is null");
+        requireNonNull(requestMs, "requestMs is null");
+    }
+
+    // -- construction
+
+    /**
+     * Returns the speed of an engine of which only the speed of prefills is known.
+     *
+     * @param prefillTokensPerMs the number of prompt tokens that the engine prefills per millisecond, above 0
+     * @return a new speed
+     */
+    public static ServerSpeed ofPrefill(double prefillTokensPerMs) {
+        return new ServerSpeed(prefillTokensPerMs, OptionalDouble.empty(), OptionalDouble.empty());
     }
 
     // -- queries
@@ -45,4 +65,22 @@
     public Duration prefillTime(long tokens) {
         return Duration.ofNanos(Math.round(prefillMillis(tokens) * NANOS_PER_MILLI));
     }
+
+    /**
+     * Returns whether another speed differs by more than a factor in any component that both know, or one of them knows
+     * a component that the other does not.
+     *
+     * @param other the other speed
+     * @param factor the factor, above 1
+     * @return true if the difference is larger
+     */
+    public boolean differs(ServerSpeed other, double factor) {
+        return differs(prefillTokensPerMs, other.prefillTokensPerMs, factor)
+                || differs(stepMs.orElse(0), other.stepMs.orElse(0), factor)
+                || differs(requestMs.orElse(0), other.requestMs.orElse(0), factor);
+    }
+
+    private static boolean differs(double a, double b, double factor) {
+        return Math.max(a, b) > factor * Math.min(a, b);
+    }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -26,6 +26,8 @@
     private final PeerLoads peerLoads;
     private final Reachability reachability = Reachability.unknown();
     private final ServerLimit limit = ServerLimit.none(ThreadLocalRandom.current());
+    private final SpeedEstimate speedEstimate = SpeedEstimate.empty();
+    private ServerSpeed speed = ServerSpeed.UNKNOWN;
     private ServerPause pause = ServerPause.none(ThreadLocalRandom.current());
     private double failureRate;
     private long loadingUntilNanos;
@@ -127,10 +129,19 @@
     /**
      * Returns how fast the server works.
      *
-     * @return the speed that is estimated now
+     * @return the speed as {@link ServerSpeeds#refresh} last estimated it
      */
     public ServerSpeed speed() {
-        return ServerSpeed.UNKNOWN;
+        return speed;
+    }
+
+    /**
+     * Returns the measurements from which the server's speed is derived.
+     *
+     * @return the estimate, which is mutable
+     */
+    public SpeedEstimate speedEstimate() {
+        return speedEstimate;
     }
 
     /**
@@ -217,6 +228,11 @@
 
     // -- commands
 
+    /** Sets the speed that is used from now on. */
+    void updateSpeed(ServerSpeed newSpeed) {
+        speed = requireNonNull(newSpeed, "newSpeed is null");
+    }
+
     /** Takes over the pause that the same incarnation asked for before it was listed again. */
     void takePause(ServerState earlier) {
         pause = earlier.pause;
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AdmittedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AdmittedRequest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.ApiCustomer;
 import org.geraniumford.core.service.Route;
 
@@ -47,6 +48,11 @@
                 .orElseGet(route::priority);
     }
 
+    /** Returns the KV memory that the request needs when it ends, in tokens; 0 without a prompt. */
+    long totalTokens() {
+        return request.prompt().map(PromptSpec::totalTokens).orElse(0L);
+    }
+
     /**
      * Returns the scope within which cached prompt segments may be shared. Segments are never shared between versions
      * of the weights, nor between an isolated customer and any other customer.
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -10,7 +10,6 @@
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
-import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.HeldBody;
@@ -30,6 +29,7 @@
     private final AttemptWeights weights;
     private final AttemptPrompt attemptPrompt;
     private final ServerFields serverFields;
+    private final SpeedSampler speed;
     private boolean prefilling;
 
     private ServerConnection connection;
@@ -45,6 +45,7 @@
 
     Attempt(ForwardedRequest request, ServerState server, Dispatch dispatch, long prefillTokens) {
         this.attemptPrompt = request.beginPrompt();
+        this.speed = SpeedSampler.of(server, request.admitted(), prefillTokens);
         this.prefillTokens = prefillTokens;
         this.request = request;
         this.server = server;
@@ -54,11 +55,7 @@
         this.weights = AttemptWeights.of(request.gateway(), request.admitted(), dispatch);
         this.serverFields = ServerFields.of(
                 request.gateway(), server, request.admitted().request().id());
-        this.totalTokens = request.admitted()
-                .request()
-                .prompt()
-                .map(PromptSpec::totalTokens)
-                .orElse(0L);
+        this.totalTokens = request.admitted().totalTokens();
     }
 
     // -- queries
@@ -247,10 +244,12 @@
             recordBegin();
             if (request.forwardStreamChunk(head, chunk)) {
                 attemptPrompt.recordWholeEvent();
+                speed.recordEvents(sentNanos, System.nanoTime());
             }
             checkEventSize();
         } else {
             recordPrefillEnd();
+            speed.recordBody(chunk.readableBytes());
             body.append(chunk);
         }
     }
@@ -348,6 +347,7 @@
         }
         markEnded();
         server.recordSuccess();
+        speed.recordEnd(head.status().code(), sentNanos, System.nanoTime());
         if (isStreamResponse()) {
             request.completeStream(head);
         } else {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -44,6 +44,7 @@
     private final GatewayProtocol protocol;
     private final GatewayLimits limits;
     private final GatewayMetrics metrics;
+    private final SpeedReport speeds;
     private final PromptQuarantine quarantine;
     private final ConnectionPool pool;
     private final ResponseMemory responseMemory;
@@ -71,6 +72,7 @@
         this.protocol = protocol;
         this.limits = limits;
         this.metrics = metrics;
+        this.speeds = SpeedReport.of(state, metrics);
         this.random = random;
         this.pool = ConnectionPool.of(loop);
         this.chooser = ServerChooser.of(random);
@@ -205,8 +207,8 @@
 
     /**
      * Closes expired idle connections, withdraws requests that may no longer begin on their engine's weights, abandons
-     * attempts at silent servers, and removes servers that did not register again after an outage. Must be called at
-     * least every 400 ms, because a longer gap counts as a pause of the process.
+     * attempts at silent servers, removes servers that did not register again after an outage, and updates speeds. Must
+     * be called at least every 400 ms, because a longer gap counts as a pause of the process.
      */
     public void tick() {
         pool.closeExpired();
@@ -219,6 +221,7 @@
         List.copyOf(activeRequests)
                 .forEach(request -> Guarded.run("request", () -> checkAttempt(request, silenceValid, nowNanos)));
         state.directory().expire(System.nanoTime());
+        speeds.refreshIfDue(nowNanos);
     }
 
     private static void checkAttempt(ForwardedRequest request, boolean silenceValid, long nowNanos) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
@@ -1,9 +1,11 @@
 package org.geraniumford.daemon.gateway;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.DoubleSummaryStatistics;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.metrics.ReasonCounters;
 
@@ -20,6 +22,11 @@
     private final Timer firstByteTime;
     private final Timer responseTime;
     private final Timer oldWeightsAge;
+    private final Counter speedChanges;
+    /** The speeds of the slowest and the fastest engine in prompt tokens per ms; NaN while none is known. */
+    private volatile double slowestPrefill = Double.NaN;
+
+    private volatile double fastestPrefill = Double.NaN;
 
     private GatewayMetrics(MeterRegistry registry) {
         reasons = ReasonCounters.of(registry);
@@ -28,6 +35,13 @@
         firstByteTime = histogram(registry, "geraniumford.answer.first");
         responseTime = histogram(registry, "geraniumford.answer.whole");
         oldWeightsAge = histogram(registry, "geraniumford.weights.age");
+        speedChanges = registry.counter("geraniumford.speed.changes");
+        Gauge.builder("geraniumford.speed.prefill", this, metrics -> metrics.slowestPrefill)
+                .tag("engine", "slowest")
+                .register(registry);
+        Gauge.builder("geraniumford.speed.prefill", this, metrics -> metrics.fastestPrefill)
+                .tag("engine", "fastest")
+                .register(registry);
     }
 
     // -- construction
@@ -84,6 +98,17 @@
         reasons.countRetry(reason);
     }
 
+    /** Counts a large change of a server's estimated speed. */
+    void countSpeedChange() {
+        speedChanges.increment();
+    }
+
+    /** Records the speeds of all engines whose speed is known, in prompt tokens per ms. */
+    void recordPrefillSpeeds(DoubleSummaryStatistics speeds) {
+        slowestPrefill = speeds.getCount() == 0 ? Double.NaN : speeds.getMin();
+        fastestPrefill = speeds.getCount() == 0 ? Double.NaN : speeds.getMax();
+    }
+
     /**
      * Records the time to the first bytes of a stream.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.fleet.ServerSpeeds;
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
@@ -33,6 +34,7 @@
     private final Map<String, WeightsHistory> weightsHistories = new HashMap<>();
     private final ServerLimits serverLimits = ServerLimits.of(directory, this::sharedMillis);
     private final ServerAvailability serverAvailability = ServerAvailability.of(directory);
+    private final ServerSpeeds serverSpeeds = ServerSpeeds.of(directory);
     private final CacheStores cacheStores = CacheStores.empty();
     private final SharedClock clock;
     private Runnable loadListener = () -> {};
@@ -126,6 +128,15 @@
         return serverAvailability;
     }
 
+    /**
+     * Returns the speeds of the backend servers.
+     *
+     * @return the speeds, which change over time
+     */
+    public ServerSpeeds serverSpeeds() {
+        return serverSpeeds;
+    }
+
     /**
      * Returns the newest published version of a model's weights.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -258,6 +258,7 @@
         announcedLoads.record(loads);
         state.cacheStores().savedSegments().markAnnounced();
         state.directory().markAnnounced();
+        state.serverSpeeds().markAnnounced(announcedNanos);
     }
 
     private void send(Link link, GossipMessages messages, LeaseSnapshot lease, boolean refresh) {
@@ -275,7 +276,12 @@
     private Message.Gossip gossip(
             boolean complete, List<ServerLoad> loads, List<ServerLimitUse> limits, LeaseSnapshot lease) {
         return new Message.Gossip(
-                new ServerGossip(complete, loads, state.directory().leavingServers(), limits),
+                new ServerGossip(
+                        complete,
+                        loads,
+                        state.directory().leavingServers(),
+                        limits,
+                        state.serverSpeeds().gossip(complete, announcedNanos)),
                 state.weightsGossip(),
                 lease,
                 new CacheGossip(
@@ -370,6 +376,14 @@
         Guarded.run(
                 "gossip of limits",
                 () -> state.serverLimits().applyGossip(peer, gossip.servers().limits()));
+        Guarded.run(
+                "gossip of speeds",
+                () -> state.serverSpeeds()
+                        .applyGossip(
+                                peer,
+                                gossip.servers().complete(),
+                                gossip.servers().speeds(),
+                                nowNanos));
     }
 
     @Override
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -14,6 +14,7 @@
 import org.geraniumford.core.fleet.ScopedSegment;
 import org.geraniumford.core.fleet.ServerGossip;
 import org.geraniumford.core.fleet.ServerLoad;
+import org.geraniumford.core.fleet.SpeedAnnouncement;
 import org.geraniumford.core.limits.LimitOwner;
 import org.geraniumford.core.limits.ServerLimitUse;
 import org.geraniumford.core.prefix.Block;
@@ -54,7 +55,8 @@
                                 List.of(new ServerLoad("server-1", 3, 27_000, 9000)),
                                 List.of(new LeavingServer("server-2", 1_770_000_000_000L)),
                                 List.of(new ServerLimitUse(
-                                        "server-3", 1_770_000_000_000L, 2_100_000, 86_400_000L, 7, -5))),
+                                        "server-3", 1_770_000_000_000L, 2_100_000, 86_400_000L, 7, -5)),
+                                List.of(new SpeedAnnouncement("server-1", 3, 30_900, 6170, 0, 7, 4250))),
                         List.of(new PublishedWeights("model", 2, 86_400_000_000L, 1500, true)),
                         new LeaseSnapshot(17, "1 host-a 5"),
                         new CacheGossip(
