Requests are refused by priority, time limit and memory, not by the objective

Every refusal said one second, and a rejected request went to up to three engines.

OverloadPolicy decides for first attempts and for retries after a rejection. Only work that is at least as urgent counts (ServerLoad has attempts and memory by priority), a request may wait for half of what its caller has left, and less urgent requests leave headroom that follows the recent use of more urgent ones. Retries after a rejection, and a customer with over 4 times the mean work of the others while others are refused, go up to 0.75 of each bound. Retry-After counts from the time until there is room, one place later for each caller. A 503 of an engine marks it as full for 200 to 800 ms for requests that are no more urgent. Plain services refuse what cannot end in time.

In the replay of 400 long requests of priority 2 before 200 short ones of priority 0 none of the short ones is refused; by the previous rule each was, as every engine's memory is reserved above 0.85.

ServerChooserTest asks the new decision with a time limit of 800 ms, half of which is the bound that its objective of 400 ms was; its expectations are unchanged. SendDecisionTest has one more decision, FULL, in both checks.

--- a/core/src/main/java/org/geraniumford/core/fleet/SendDecision.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/SendDecision.java
@@ -63,13 +63,20 @@
             return state.isLoading(nowNanos);
         }
     },
-    /** The server rejected a request, could not be reached or was silent a short time ago. */
+    /** The server rejected a request as meant for another, could not be reached or was silent a short time ago. */
     SUSPENDED(false) {
         @Override
         boolean applies(ServerDirectory directory, ServerState state, ServerQuery query, long nowNanos) {
             return state.reachability().isSuspended(nowNanos);
         }
     },
+    /** The server rejected a request that was at least as urgent a short time ago, because it was full. */
+    FULL(false) {
+        @Override
+        boolean applies(ServerDirectory directory, ServerState state, ServerQuery query, long nowNanos) {
+            return state.rejection().isFull(query.priority(), nowNanos);
+        }
+    },
     /** Nothing forbids it. */
     SEND(false) {
         @Override
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -3,7 +3,9 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -61,6 +63,7 @@
     private static final double MAX_TIE_BREAK_MS = 2;
 
     private final RandomGenerator random;
+    private final Map<String, RecentUse> recentUses = new HashMap<>();
 
     private ServerChooser(RandomGenerator random) {
         this.random = random;
@@ -93,7 +96,10 @@
     public Optional<ServerState> choose(ServerDirectory directory, ServerQuery query, long nowNanos) {
         List<Candidate> sendable = sendable(directory, query, nowNanos);
         List<ServerState> available = available(sendable);
-        return cheapest(available.stream().filter(state -> hasRoom(state, query)), query)
+        Headroom headroom = headroom(available, query, nowNanos);
+        return cheapest(
+                        available.stream().filter(state -> OverloadPolicy.hasRoom(state, query, headroom, nowNanos)),
+                        query)
                 .or(() -> cheapest(available.stream(), query))
                 .or(() -> query.excluded().isEmpty()
                         ? cheapest(sendable.stream().map(Candidate::state), query)
@@ -183,31 +189,39 @@
     }
 
     /**
-     * Returns whether a request should be refused because every engine that could run it has more work than it can
-     * finish in time. More work would make all requests late: engines whose memory is full preempt requests and prefill
-     * them again, and evict the segments that later requests share.
+     * Decides whether a request is admitted, in view of the work that its servers have. More work than they can take
+     * would make requests late that are in progress: engines whose memory is full preempt requests and prefill them
+     * again, and evict the segments that later requests share.
      *
      * @param directory the known servers
      * @param query the request's requirements
+     * @param yielding whether other requests of the same priority go first
      * @param nowNanos the current time, from {@link System#nanoTime}
-     * @return true if engines are available but none has room; always false for a request without a prompt
+     * @return refused if servers could take the request, but none has room
      */
-    public boolean isOverloaded(ServerDirectory directory, ServerQuery query, long nowNanos) {
-        List<ServerState> available = available(sendable(directory, query, nowNanos));
-        return query.prompt().isPresent()
-                && !available.isEmpty()
-                && available.stream().noneMatch(state -> hasRoom(state, query));
+    public OverloadDecision decideOverload(
+            ServerDirectory directory, ServerQuery query, boolean yielding, long nowNanos) {
+        boolean plain = query.prompt().isEmpty();
+        List<ServerState> considered = sendable(directory, query, nowNanos).stream()
+                .filter(candidate -> candidate.isAvailable() || (!plain && candidate.decision() == SendDecision.FULL))
+                .map(Candidate::state)
+                .toList();
+        return OverloadPolicy.decide(
+                considered,
+                query,
+                headroom(considered, query, nowNanos),
+                yielding,
+                directory.entryShare().heardPeers() + 1,
+                nowNanos);
     }
 
-    private static boolean hasRoom(ServerState state, ServerQuery query) {
+    private Headroom headroom(List<ServerState> servers, ServerQuery query, long nowNanos) {
         if (query.prompt().isEmpty()) {
-            return true;
+            return Headroom.NONE;
         }
-        ServerLoad load = state.totalLoad();
-        boolean capacityUnknown = state.kvCapacityTokens() == 0;
-        return load.running() < state.server().slots()
-                && (capacityUnknown || load.reservedTokens() <= USABLE_MEMORY_FRACTION * state.kvCapacityTokens())
-                && state.prefillWait(query.priority()).compareTo(query.targetLatency()) <= 0;
+        RecentUse use = recentUses.computeIfAbsent(query.service(), service -> RecentUse.none(nowNanos));
+        use.record(servers.stream().map(ServerState::totalLoad).toList(), nowNanos);
+        return use.headroom(query.priority());
     }
 
     private Optional<ServerState> cheapest(Stream<ServerState> servers, ServerQuery query) {
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerLoad.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerLoad.java
@@ -6,27 +6,45 @@
 import java.util.stream.IntStream;
 
 /**
- * The work that one or more entries have in progress at one backend server.
+ * The work that one or more entries have in progress at one backend server, for each priority from 0 (the most urgent)
+ * to {@link #LEAST_URGENT}; zeros at the end of a list are left out.
  *
  * @param server the server's name
- * @param running the number of attempts in progress, including those whose connection is still being opened
- * @param reservedTokens the KV memory reserved for these attempts, in tokens: the length of each prompt plus the
+ * @param runningByPriority the number of attempts in progress, including those whose connection is still being opened
+ * @param reservedByPriority the KV memory reserved for these attempts, in tokens: the length of each prompt plus the
  *     maximum number of its output tokens
- * @param pendingPrefillByPriority the estimated number of prompt tokens that the server has yet to prefill, for each
- *     priority from 0 (the most urgent) to {@link #LEAST_URGENT}; zeros at the end are left out
+ * @param pendingPrefillByPriority the estimated number of prompt tokens that the server has yet to prefill
  */
-public record ServerLoad(String server, int running, long reservedTokens, List<Long> pendingPrefillByPriority) {
+public record ServerLoad(
+        String server,
+        List<Long> runningByPriority,
+        List<Long> reservedByPriority,
+        List<Long> pendingPrefillByPriority) {
     /** The priority of the least urgent requests; higher numbers count as this one. */
     public static final int LEAST_URGENT = 9;
 
     /** Checks and copies the components. */
     public ServerLoad {
         requireNonNull(server, "server is null");
+        runningByPriority = withoutZerosAtEnd(runningByPriority);
+        reservedByPriority = withoutZerosAtEnd(reservedByPriority);
         pendingPrefillByPriority = withoutZerosAtEnd(pendingPrefillByPriority);
     }
 
     /**
-     * Creates a load whose prompts are all of the most urgent priority.
+     * Creates a load whose attempts are all of the most urgent priority.
+     *
+     * @param server the server's name
+     * @param running the number of attempts in progress
+     * @param reservedTokens the KV memory reserved for these attempts, in tokens
+     * @param pendingPrefillByPriority the number of prompt tokens that the server has yet to prefill, by priority
+     */
+    public ServerLoad(String server, int running, long reservedTokens, List<Long> pendingPrefillByPriority) {
+        this(server, List.of((long) running), List.of(reservedTokens), pendingPrefillByPriority);
+    }
+
+    /**
+     * Creates a load whose attempts and prompts are all of the most urgent priority.
      *
      * @param server the server's name
      * @param running the number of attempts in progress
@@ -50,25 +68,68 @@
     }
 
     /**
-     * Returns the load of prompts that are yet to be prefilled.
+     * Returns a load of one priority.
      *
      * @param server the server's name
-     * @param priority the priority of the prompts, at least 0
-     * @param tokens the number of tokens
-     * @return a load of 0 requests
+     * @param priority the priority, at least 0
+     * @param running the number of attempts in progress
+     * @param reservedTokens the KV memory reserved for these attempts, in tokens
+     * @param pendingPrefillTokens the number of prompt tokens that the server has yet to prefill
+     * @return the load
      */
-    static ServerLoad pending(String server, int priority, long tokens) {
+    public static ServerLoad of(
+            String server, int priority, int running, long reservedTokens, long pendingPrefillTokens) {
         return new ServerLoad(
-                server,
-                0,
-                0,
-                IntStream.rangeClosed(0, Math.min(priority, LEAST_URGENT))
-                        .mapToObj(level -> level == Math.min(priority, LEAST_URGENT) ? tokens : 0L)
-                        .toList());
+                server, at(priority, running), at(priority, reservedTokens), at(priority, pendingPrefillTokens));
+    }
+
+    private static List<Long> at(int priority, long number) {
+        int level = Math.min(priority, LEAST_URGENT);
+        return IntStream.rangeClosed(0, level)
+                .mapToObj(each -> each == level ? number : 0L)
+                .toList();
     }
 
     // -- queries
 
+    /**
+     * Returns the number of attempts of all priorities.
+     *
+     * @return the number of attempts in progress
+     */
+    public int running() {
+        return running(LEAST_URGENT);
+    }
+
+    /**
+     * Returns the number of attempts that don't yield to a new request.
+     *
+     * @param priority the priority of the new request
+     * @return the number of attempts that are at least as urgent; 0 for a negative priority
+     */
+    public int running(int priority) {
+        return (int) sumTo(runningByPriority, priority);
+    }
+
+    /**
+     * Returns the memory that is reserved for attempts of all priorities.
+     *
+     * @return the number of tokens
+     */
+    public long reservedTokens() {
+        return reservedTokens(LEAST_URGENT);
+    }
+
+    /**
+     * Returns the memory of the attempts that don't yield to a new request.
+     *
+     * @param priority the priority of the new request
+     * @return the number of tokens of attempts that are at least as urgent; 0 for a negative priority
+     */
+    public long reservedTokens(int priority) {
+        return sumTo(reservedByPriority, priority);
+    }
+
     /**
      * Returns the number of prompt tokens of all priorities that the server has yet to prefill.
      *
@@ -85,11 +146,7 @@
      * @return the number of tokens of prompts that are at least as urgent
      */
     public long pendingPrefillTokens(int priority) {
-        long sum = 0;
-        for (int level = 0; level < pendingPrefillByPriority.size() && level <= priority; level++) {
-            sum += pendingPrefillByPriority.get(level);
-        }
-        return sum;
+        return sumTo(pendingPrefillByPriority, priority);
     }
 
     // -- combinators
@@ -115,25 +172,39 @@
     }
 
     private ServerLoad combined(ServerLoad other, int sign) {
-        int levels = Math.max(pendingPrefillByPriority.size(), other.pendingPrefillByPriority.size());
         return new ServerLoad(
                 server,
-                running + sign * other.running,
-                reservedTokens + sign * other.reservedTokens,
-                IntStream.range(0, levels)
-                        .mapToObj(level -> pendingAt(level) + sign * other.pendingAt(level))
-                        .toList());
+                combined(runningByPriority, other.runningByPriority, sign),
+                combined(reservedByPriority, other.reservedByPriority, sign),
+                combined(pendingPrefillByPriority, other.pendingPrefillByPriority, sign));
+    }
+
+    private static List<Long> combined(List<Long> first, List<Long> second, int sign) {
+        if (second.isEmpty()) {
+            return first;
+        }
+        return IntStream.range(0, Math.max(first.size(), second.size()))
+                .mapToObj(level -> at(first, level) + sign * at(second, level))
+                .toList();
+    }
+
+    private static long at(List<Long> numbers, int level) {
+        return level < numbers.size() ? numbers.get(level) : 0;
     }
 
-    private long pendingAt(int level) {
-        return level < pendingPrefillByPriority.size() ? pendingPrefillByPriority.get(level) : 0;
+    private static long sumTo(List<Long> numbers, int priority) {
+        long sum = 0;
+        for (int level = 0; level < numbers.size() && level <= priority; level++) {
+            sum += numbers.get(level);
+        }
+        return sum;
     }
 
-    private static List<Long> withoutZerosAtEnd(List<Long> tokens) {
-        int size = tokens.size();
-        while (size > 0 && tokens.get(size - 1) == 0) {
+    private static List<Long> withoutZerosAtEnd(List<Long> numbers) {
+        int size = numbers.size();
+        while (size > 0 && numbers.get(size - 1) == 0) {
             size--;
         }
-        return List.copyOf(tokens.subList(0, size));
+        return List.copyOf(numbers.subList(0, size));
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -23,6 +23,7 @@
  * @param firstUnsavedSegment the key of the first shared segment that is not known to be prefilled and saved; empty if
  *     there is none, or without a prompt or a cache store
  * @param targetLatency the time within which the caller expects the first bytes of the response
+ * @param timeLimit how much longer the caller waits for the whole response
  * @param fetchable whether engines can fetch uncached shared segments from the cache store
  * @param excluded the names of the servers that must not be chosen, because the request has or had an attempt there;
  *     empty only for the choice of the first attempt
@@ -39,6 +40,7 @@
         int minWeightsVersion,
         OptionalLong firstUnsavedSegment,
         Duration targetLatency,
+        Duration timeLimit,
         boolean fetchable,
         Set<String> excluded,
         int priority,
@@ -51,6 +53,7 @@
         requireNonNull(prompt, "prompt is null");
         requireNonNull(firstUnsavedSegment, "firstUnsavedSegment is null");
         requireNonNull(targetLatency, "targetLatency is null");
+        requireNonNull(timeLimit, "timeLimit is null");
         excluded = Set.copyOf(excluded);
     }
 
@@ -72,6 +75,7 @@
                 0,
                 firstUnsavedSegment,
                 targetLatency,
+                timeLimit,
                 fetchable,
                 Set.of(),
                 priority,
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -27,6 +27,8 @@
     private final Reachability reachability = Reachability.unknown();
     private final ServerLimit limit = ServerLimit.none(ThreadLocalRandom.current());
     private ServerPause pause = ServerPause.none(ThreadLocalRandom.current());
+    private final RejectionMark rejection = RejectionMark.none();
+    private RequestTime requestTime = RequestTime.UNKNOWN;
     private double failureRate;
     private long loadingUntilNanos;
     private boolean loading;
@@ -205,6 +207,24 @@
         return pause;
     }
 
+    /**
+     * Returns the record of the server's rejections for lack of room.
+     *
+     * @return the record, which is mutable
+     */
+    public RejectionMark rejection() {
+        return rejection;
+    }
+
+    /**
+     * Returns how long the server works on a request without a prompt.
+     *
+     * @return the estimate; immutable
+     */
+    public RequestTime requestTime() {
+        return requestTime;
+    }
+
     /**
      * Returns whether the server is assumed to be loading weights, during which it runs no requests.
      *
@@ -297,9 +317,7 @@
      * @param priority the priority of the request
      */
     public void recordAttemptStart(long reservedTokens, long prefillTokens, int priority) {
-        localLoad = localLoad
-                .plus(new ServerLoad(server.id(), 1, reservedTokens, 0))
-                .plus(ServerLoad.pending(server.id(), priority, prefillTokens));
+        localLoad = localLoad.plus(ServerLoad.of(server.id(), priority, 1, reservedTokens, prefillTokens));
     }
 
     /**
@@ -309,16 +327,17 @@
      * @param priority the priority of the request
      */
     public void recordPrefilled(long prefillTokens, int priority) {
-        localLoad = localLoad.minus(ServerLoad.pending(server.id(), priority, prefillTokens));
+        localLoad = localLoad.minus(ServerLoad.of(server.id(), priority, 0, 0, prefillTokens));
     }
 
     /**
      * Records that a request has ended.
      *
      * @param reservedTokens the memory that {@link #recordAttemptStart} recorded for the request, in tokens
+     * @param priority the priority of the request
      */
-    public void recordEnded(long reservedTokens) {
-        localLoad = localLoad.plus(new ServerLoad(server.id(), -1, -reservedTokens, 0));
+    public void recordEnded(long reservedTokens, int priority) {
+        localLoad = localLoad.minus(ServerLoad.of(server.id(), priority, 1, reservedTokens, 0));
     }
 
     /**
@@ -334,6 +353,7 @@
     /** Records a successful response, which ends the server's suspension and lowers its failure rate. */
     public void recordSuccess() {
         reachability.recordSuccess();
+        rejection.recordSuccess();
         failureRate -= failureRate * FAILURE_RATE_SMOOTHING;
     }
 
@@ -344,4 +364,28 @@
     public void recordFailure() {
         failureRate += (1 - failureRate) * FAILURE_RATE_SMOOTHING;
     }
+
+    /**
+     * Records that the engine rejected a request because it was full. Ignores the rejection of a request that exceeds
+     * the engine's memory, because an idle engine rejects it as well.
+     *
+     * @param reservedTokens the memory that the request needs, in tokens
+     * @param priority the priority of the request
+     * @param nowNanos the current time, from {@link System#nanoTime}
+     */
+    public void recordFull(long reservedTokens, int priority, long nowNanos) {
+        if (kvCapacityTokens == 0 || reservedTokens <= kvCapacityTokens) {
+            rejection.recordRejection(priority, nowNanos);
+        }
+    }
+
+    /**
+     * Records a complete response to a request without a prompt.
+     *
+     * @param elapsed the time since the request was sent
+     * @param runningAtStart the requests of all entries that were in progress at the server then, this one included
+     */
+    public void recordResponse(Duration elapsed, int runningAtStart) {
+        requestTime = requestTime.withResponse(elapsed, runningAtStart, server.slots());
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
@@ -0,0 +1,251 @@
+package org.geraniumford.core.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.geraniumford.core.prompt.PromptSpec;
+import org.geraniumford.core.service.EngineSpec;
+import org.junit.jupiter.api.Test;
+
+/** The loads are those of deployment A of the specification. */
+final class OverloadPolicyTest {
+    private static final long NOW_NANOS = 1_000_000_000L;
+    private static final int ENGINES = 32;
+    private static final long CAPACITY = 97_568;
+    private static final Duration SHORT_OBJECTIVE = Duration.ofMillis(507);
+    private static final ServerQuery LONG = query(Optional.of(new PromptSpec("model", 9190, 13, List.of())), 6060, 2);
+    private static final ServerQuery SHORT = query(Optional.of(new PromptSpec("model", 826, 73, List.of())), 15_195, 0);
+    private static final ServerQuery PLAIN = query(Optional.empty(), 1525, 0);
+
+    private final ServerDirectory directory =
+            ServerDirectory.empty(name -> Optional.of(new EngineSpec(64, CAPACITY, false)));
+    private final ServerChooser chooser = ServerChooser.of(new Random(5));
+
+    private static ServerQuery query(Optional<PromptSpec> prompt, int timeLimitMs, int priority) {
+        return new ServerQuery(
+                "service",
+                "here",
+                1000,
+                prompt.map(spec -> ScopedPrompt.of("scope", spec)),
+                1,
+                0,
+                OptionalLong.empty(),
+                SHORT_OBJECTIVE,
+                Duration.ofMillis(timeLimitMs),
+                false,
+                Set.of(),
+                priority,
+                false,
+                false);
+    }
+
+    private List<ServerState> register(int count, int slots) {
+        return IntStream.range(0, count)
+                .mapToObj(number -> {
+                    directory.register(new BackendServer(
+                            "server-" + number, 1, "service", "10.0.0.1:80", "here", slots, false, Map.of("model", 1)));
+                    return directory.find("server-" + number).orElseThrow();
+                })
+                .toList();
+    }
+
+    private boolean admits(ServerQuery query, boolean yielding, long nowNanos) {
+        return chooser.decideOverload(directory, query, yielding, nowNanos) instanceof OverloadDecision.Admitted;
+    }
+
+    private boolean admits(ServerQuery query) {
+        return admits(query, false, NOW_NANOS);
+    }
+
+    private OverloadDecision.Refused refusal(ServerQuery query) {
+        return (OverloadDecision.Refused) chooser.decideOverload(directory, query, false, NOW_NANOS);
+    }
+
+    /** Sends requests until the given number was offered, and returns how many were refused. */
+    private int refusedOf(int offered, ServerQuery query) {
+        PromptSpec prompt = query.prompt().orElseThrow().prompt();
+        int refused = 0;
+        for (int i = 0; i < offered; i++) {
+            if (admits(query)) {
+                chooser.choose(directory, query, NOW_NANOS)
+                        .orElseThrow()
+                        .recordAttemptStart(prompt.totalTokens(), prompt.inputTokens(), query.priority());
+            } else {
+                refused++;
+            }
+        }
+        return refused;
+    }
+
+    private static long tokensOf(ServerState state, long prefillMillis) {
+        return (long) (prefillMillis / state.speed().prefillMillis(1));
+    }
+
+    // -- engines
+
+    /**
+     * Load: 400 long requests of priority 2 arrive faster than they end, then 200 short ones of priority 0. Guards
+     * against urgent requests that are refused because of less urgent ones; all 200 were refused before, as the memory
+     * of every engine is reserved above 0.85.
+     */
+    @Test
+    void shouldAdmitUrgentRequestsAfterABurstOfLessUrgentOnes() {
+        List<ServerState> engines = register(ENGINES, 64);
+        assertThat(refusedOf(400, LONG)).isEqualTo(400 - 10 * ENGINES);
+        assertThat(engines).allMatch(engine -> engine.totalLoad().reservedTokens() > 0.85 * CAPACITY);
+        assertThat(refusedOf(200, SHORT)).isZero();
+        assertThat(admits(LONG)).isFalse();
+    }
+
+    /**
+     * Load: a quarter of the engines is gone, and the others have a queue of 510 ms, 3 ms above the objective of the
+     * short requests. Guards against the refusal of requests that would only be late; all were refused before.
+     */
+    @Test
+    void shouldAdmitARequestThatWillBeLateButNotOneThatStartsAfterHalfItsTimeLimit() {
+        List<ServerState> engines = register(ENGINES * 3 / 4, 64);
+        engines.forEach(
+                engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 0, 20, 60_000, tokensOf(engine, 510))));
+        assertThat(admits(SHORT)).isTrue();
+        engines.forEach(
+                engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 0, 20, 60_000, tokensOf(engine, 7700))));
+        assertThat(admits(SHORT)).isFalse();
+        assertThat(refusal(SHORT).untilRoom()).isBetween(Duration.ofMillis(50), Duration.ofMillis(150));
+    }
+
+    /** Load: short requests alone. Guards against engines that preempt requests of the same priority. */
+    @Test
+    void shouldRefuseAnUrgentRequestWhenRequestsAsUrgentFillMemoryOrSlots() {
+        List<ServerState> engines = register(ENGINES, 64);
+        engines.forEach(engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 0, 40, 83_000, 0)));
+        assertThat(admits(SHORT)).isFalse();
+        engines.forEach(engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 0, 64, 50_000, 0)));
+        assertThat(admits(SHORT)).isFalse();
+        engines.forEach(engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 0, 63, 50_000, 0)));
+        assertThat(admits(SHORT)).isTrue();
+    }
+
+    /**
+     * Load: long requests while short ones ended a moment ago. Guards against long requests that take all memory
+     * between two bursts of short ones, and against a reserve where there are none.
+     */
+    @Test
+    void shouldLeaveHeadroomThatFollowsTheRecentUseOfMoreUrgentRequests() {
+        List<ServerState> engines = register(ENGINES, 64);
+        engines.forEach(engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 2, 8, 80_000, 0)));
+        assertThat(admits(LONG)).isTrue();
+        engines.forEach(engine -> engine.updatePeerLoad("urgent", ServerLoad.of("any", 0, 4, 3600, 0)));
+        assertThat(admits(SHORT)).isTrue();
+        engines.forEach(engine -> engine.updatePeerLoad("urgent", ServerLoad.idle("any")));
+        assertThat(admits(LONG)).isFalse();
+        long laterNanos = NOW_NANOS + Duration.ofSeconds(40).toNanos();
+        assertThat(admits(LONG, false, laterNanos)).isTrue();
+    }
+
+    /** Load: short requests hold 90 % of the memory. Guards against a less urgent kind that is never served again. */
+    @Test
+    void shouldKeepAtMostAQuarterFreeForMoreUrgentRequests() {
+        List<ServerState> engines = register(1, 64);
+        engines.get(0).updatePeerLoad("urgent", ServerLoad.of("any", 0, 60, 88_000, 0));
+        assertThat(admits(LONG)).isFalse();
+        engines.get(0).updatePeerLoad("urgent", ServerLoad.of("any", 2, 5, 58_000, 0));
+        assertThat(admits(LONG)).isTrue();
+    }
+
+    /**
+     * Load: one customer at 7 times its usual load fills the engines to 0.8 of the usable memory. Guards against other
+     * customers that are refused instead of it, and against retries that take the place of first attempts.
+     */
+    @Test
+    void shouldRefuseRequestsThatYieldBeforeOthersOfTheirPriority() {
+        register(ENGINES, 64).forEach(engine -> engine.updatePeerLoad("peer", ServerLoad.of("any", 0, 40, 66_500, 0)));
+        assertThat(admits(SHORT, true, NOW_NANOS)).isFalse();
+        assertThat(admits(SHORT, false, NOW_NANOS)).isTrue();
+    }
+
+    /**
+     * Load: 9 engines load weights, one leaves, the others are full. Guards against a refusal whose log shows the load
+     * of idle engines that could not take the request.
+     */
+    @Test
+    void shouldReportOnlyEnginesThatCouldTakeTheRequest() {
+        List<ServerState> engines = register(ENGINES, 64);
+        engines.subList(0, 9).forEach(engine -> engine.markLoading(NOW_NANOS + 1));
+        directory.markLeaving(new LeavingServer("server-9", 1));
+        engines.subList(10, ENGINES)
+                .forEach(engine ->
+                        engine.updatePeerLoad("peer", ServerLoad.of("any", 2, 10, 92_030, tokensOf(engine, 90))));
+        OverloadInputs inputs = refusal(LONG).inputs();
+        assertThat(inputs.considered()).isEqualTo(22);
+        assertThat(inputs.shortestWaitMs()).isEqualTo(90);
+        assertThat(inputs.mostFreeTokens()).isBetween(-9098L, -9097L);
+        assertThat(inputs.mostFreeSlots()).isEqualTo(54);
+    }
+
+    /** Load: none. Guards against the refusal of requests that could wait until an engine has loaded its weights. */
+    @Test
+    void shouldAdmitWhenNoEngineCouldTakeTheRequest() {
+        register(9, 64).forEach(engine -> engine.markLoading(NOW_NANOS + 1));
+        assertThat(admits(LONG)).isTrue();
+    }
+
+    /**
+     * Load: every engine rejects a long request, a few ms before their loads arrive. Guards against requests that are
+     * rejected by one engine after the other.
+     */
+    @Test
+    void shouldRefuseForAShortTimeWhatIsNoMoreUrgentThanARejectedRequest() {
+        List<ServerState> engines = register(3, 64);
+        engines.forEach(engine -> engine.recordFull(9203, 2, NOW_NANOS));
+        assertThat(admits(LONG)).isFalse();
+        assertThat(refusal(LONG).untilRoom()).isEqualTo(Duration.ofMillis(200));
+        assertThat(refusal(LONG).inputs().rejecting()).isEqualTo(3);
+        assertThat(admits(SHORT)).isTrue();
+        engines.get(0).recordFull(899, 0, NOW_NANOS);
+        assertThat(chooser.choose(directory, SHORT, NOW_NANOS).orElseThrow()).isNotEqualTo(engines.get(0));
+        assertThat(admits(LONG, false, NOW_NANOS + Duration.ofMillis(200).toNanos()))
+                .isTrue();
+        engines.get(1).recordSuccess();
+        assertThat(admits(LONG)).isTrue();
+    }
+
+    /** Load: one request that exceeds the memory of an engine. Guards against engines that it would mark as full. */
+    @Test
+    void shouldNotCountAnEngineAsFullAfterARequestThatExceedsItsMemory() {
+        register(1, 64).get(0).recordFull(CAPACITY + 1, 0, NOW_NANOS);
+        assertThat(admits(LONG)).isTrue();
+    }
+
+    // -- plain services
+
+    /** Load: 101 and 102 requests at each server of 6 slots and 86 ms, with a time limit of 1,525 ms. */
+    @Test
+    void shouldRefuseAPlainRequestOnlyWhenItCannotEndWithinItsTimeLimit() {
+        List<ServerState> servers = register(4, 6);
+        servers.forEach(server -> server.updatePeerLoad("peer", ServerLoad.of("any", 0, 500, 0, 0)));
+        assertThat(admits(PLAIN)).as("time of a request unknown").isTrue();
+        servers.forEach(server -> server.recordResponse(Duration.ofMillis(86), 1));
+        servers.forEach(server -> server.updatePeerLoad("peer", ServerLoad.of("any", 0, 101, 0, 0)));
+        assertThat(admits(PLAIN)).isTrue();
+        servers.forEach(server -> server.updatePeerLoad("peer", ServerLoad.of("any", 0, 102, 0, 0)));
+        assertThat(admits(PLAIN)).isFalse();
+        assertThat(refusal(PLAIN).untilRoom()).isEqualTo(Duration.ofMillis(18 * 86 - 1525));
+    }
+
+    /** Load: a burst at one server, then one stalled response. Guards against waiting that counts as work. */
+    @Test
+    void shouldLearnTheTimeOfARequestWithoutItsWaiting() {
+        RequestTime time = RequestTime.UNKNOWN.withResponse(Duration.ofMillis(86), 6, 6);
+        time = time.withResponse(Duration.ofMillis(344), 24, 6);
+        assertThat(time.meanMillis().getAsDouble()).isEqualTo(86);
+        time = time.withResponse(Duration.ofSeconds(60), 1, 6);
+        assertThat(time.meanMillis().getAsDouble()).isLessThan(86 * 1.21);
+    }
+}
--- a/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
@@ -47,6 +47,7 @@
                 2,
                 OptionalLong.empty(),
                 Duration.ofMillis(400),
+                Duration.ofMillis(800),
                 false,
                 excluded,
                 0,
@@ -75,7 +76,7 @@
             }
             int events = random.nextInt(4);
             for (int event = 0; event < events; event++) {
-                applying.add(apply(state, random.nextInt(6)));
+                applying.add(apply(state, random.nextInt(7)));
             }
             SendDecision expected = applying.stream().min(Enum::compareTo).orElse(SendDecision.SEND);
             assertThat(decide(state, query(attempted ? Set.of("server") : Set.of())))
@@ -108,6 +109,10 @@
                 state.pause().ask(Duration.ofMillis(1), NOW_NANOS);
                 return SendDecision.PAUSED;
             }
+            case 5 -> {
+                state.rejection().recordRejection(0, NOW_NANOS);
+                return SendDecision.FULL;
+            }
             default -> {
                 state.reachability().recordUnreachable(NOW_NANOS);
                 return SendDecision.SUSPENDED;
@@ -132,9 +137,9 @@
     }
 
     @Test
-    void shouldOnlyAdviseAgainstAServerThatIsSuspendedOrLoading() {
+    void shouldOnlyAdviseAgainstAServerThatIsSuspendedLoadingOrFull() {
         assertThat(SendDecision.values())
                 .filteredOn(decision -> !decision.forbidsSending())
-                .containsExactly(SendDecision.LOADING, SendDecision.SUSPENDED, SendDecision.SEND);
+                .containsExactly(SendDecision.LOADING, SendDecision.SUSPENDED, SendDecision.FULL, SendDecision.SEND);
     }
 }
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -18,6 +18,7 @@
 final class ServerChooserTest {
     private static final long NOW_NANOS = 1_000_000_000L;
     private static final Duration TARGET_LATENCY = Duration.ofMillis(400);
+    private static final Duration TIME_LIMIT = Duration.ofMillis(800);
     private static final PromptSpec PROMPT = new PromptSpec(
             "model", 9000, 100, List.of(new PromptSegment("house", 6000), new PromptSegment("own", 3000)));
     private static final ScopedPrompt SCOPED = ScopedPrompt.of("scope", PROMPT);
@@ -53,6 +54,7 @@
                 newestWeightsVersion - 1,
                 OptionalLong.empty(),
                 TARGET_LATENCY,
+                TIME_LIMIT,
                 false,
                 excluded,
                 0,
@@ -94,6 +96,7 @@
                 0,
                 OptionalLong.empty(),
                 TARGET_LATENCY,
+                TIME_LIMIT,
                 true,
                 Set.of(),
                 0,
@@ -125,6 +128,7 @@
                 0,
                 OptionalLong.empty(),
                 TARGET_LATENCY,
+                TIME_LIMIT,
                 false,
                 Set.of(),
                 0,
@@ -178,6 +182,7 @@
                     0,
                     OptionalLong.of(i * 7919L),
                     TARGET_LATENCY,
+                    TIME_LIMIT,
                     false,
                     Set.of(),
                     0,
@@ -192,6 +197,7 @@
                     0,
                     OptionalLong.of(i * 7919L),
                     TARGET_LATENCY,
+                    TIME_LIMIT,
                     false,
                     Set.of(),
                     0,
@@ -290,6 +296,7 @@
                 0,
                 OptionalLong.empty(),
                 TARGET_LATENCY,
+                TIME_LIMIT,
                 false,
                 Set.of(),
                 0,
@@ -307,8 +314,7 @@
         ServerDirectory unknownCapacity = ServerDirectory.empty(name -> Optional.empty());
         unknownCapacity.register(server("only", "here", 1));
         unknownCapacity.find("only").orElseThrow().updatePeerLoad("peer", new ServerLoad("only", 2, 18_000, 0));
-        assertThat(chooser.isOverloaded(unknownCapacity, query(Set.of(), 1), NOW_NANOS))
-                .isFalse();
+        assertThat(isOverloaded(unknownCapacity, query(Set.of(), 1))).isFalse();
     }
 
     @Test
@@ -321,6 +327,10 @@
     }
 
     private boolean isOverloaded(ServerQuery query) {
-        return chooser.isOverloaded(directory, query, NOW_NANOS);
+        return isOverloaded(directory, query);
+    }
+
+    private boolean isOverloaded(ServerDirectory servers, ServerQuery query) {
+        return chooser.decideOverload(servers, query, false, NOW_NANOS) instanceof OverloadDecision.Refused;
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -41,6 +41,7 @@
     private String detail = "";
 
     private long sentNanos;
+    private int runningAtStart;
     private boolean ended;
 
     Attempt(ForwardedRequest request, ServerState server, Dispatch dispatch, long prefillTokens) {
@@ -54,11 +55,7 @@
         this.weights = AttemptWeights.of(request.gateway(), request.admitted(), dispatch);
         this.serverFields = ServerFields.of(
                 request.gateway(), server, request.admitted().request().id());
-        this.totalTokens = request.admitted()
-                .request()
-                .prompt()
-                .map(PromptSpec::totalTokens)
-                .orElse(0L);
+        this.totalTokens = prompt().map(PromptSpec::totalTokens).orElse(0L);
     }
 
     // -- queries
@@ -80,6 +77,10 @@
         return detail;
     }
 
+    private Optional<PromptSpec> prompt() {
+        return request.admitted().request().prompt();
+    }
+
     /** Returns the buffered response, whose body is then no longer released by this attempt. */
     FullHttpResponse takeFullResponse() {
         return request.fullResponse(head, body.take());
@@ -122,6 +123,7 @@
         }
         connection = newConnection;
         sentNanos = System.nanoTime();
+        runningAtStart = server.totalLoad().running();
         newConnection.send(request.gateway().encode(request.exchange(), dispatch.withTimeLeft(timeLeft)), this);
     }
 
@@ -222,16 +224,13 @@
     }
 
     private void recordWeightsVersion() {
-        request.admitted()
-                .request()
-                .prompt()
-                .ifPresent(prompt -> request.gateway()
-                        .protocol()
-                        .weightsVersion(head)
-                        .ifPresent(version -> {
-                            weights.applyResponse(version);
-                            server.recordWeightsVersion(prompt.model(), version);
-                        }));
+        prompt().ifPresent(prompt -> request.gateway()
+                .protocol()
+                .weightsVersion(head)
+                .ifPresent(version -> {
+                    weights.applyResponse(version);
+                    server.recordWeightsVersion(prompt.model(), version);
+                }));
     }
 
     @Override
@@ -317,19 +316,20 @@
      * by another server at its address.
      */
     private void handleMisdirected() {
-        request.admitted()
-                .request()
-                .prompt()
-                .ifPresent(prompt -> dispatch.engine()
-                        .map(EngineDispatch::weightsVersion)
-                        .filter(OptionalInt::isPresent)
-                        .ifPresent(expectedVersion ->
-                                server.invalidateWeightsVersion(prompt.model(), expectedVersion.getAsInt())));
+        prompt().ifPresent(prompt -> dispatch.engine()
+                .map(EngineDispatch::weightsVersion)
+                .filter(OptionalInt::isPresent)
+                .ifPresent(expectedVersion ->
+                        server.invalidateWeightsVersion(prompt.model(), expectedVersion.getAsInt())));
         recordWeightsVersion();
     }
 
     private void handleRejection(Reason reason) {
-        server.reachability().recordRejection(System.nanoTime());
+        if (reason == Reason.QUEUE_FULL && prompt().isPresent()) {
+            server.recordFull(totalTokens, request.admitted().priority(), System.nanoTime());
+        } else {
+            server.reachability().recordRejection(System.nanoTime());
+        }
         endWithFailure(new AttemptFailure.TurnedAway(), reason);
     }
 
@@ -342,12 +342,14 @@
             return;
         }
         boolean ranPrompt = head.status().code() == 200;
-        if (!isStreamResponse()
-                && (ranPrompt || request.admitted().request().prompt().isEmpty())) {
+        if (!isStreamResponse() && (ranPrompt || prompt().isEmpty())) {
             attemptPrompt.recordWholeEvent();
         }
         markEnded();
         server.recordSuccess();
+        if (prompt().isEmpty()) {
+            server.recordResponse(Duration.ofNanos(System.nanoTime() - sentNanos), runningAtStart);
+        }
         if (isStreamResponse()) {
             request.completeStream(head);
         } else {
@@ -391,6 +393,6 @@
         ended = true;
         attemptPrompt.release();
         recordPrefillEnd();
-        server.recordEnded(totalTokens);
+        server.recordEnded(totalTokens, request.admitted().priority());
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -3,18 +3,16 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.ToLongFunction;
+import java.util.function.Supplier;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ScopedPrompt;
 import org.geraniumford.core.fleet.SendDecision;
 import org.geraniumford.core.fleet.ServerDirectory;
-import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerQuery;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.prompt.PromptSpec;
@@ -26,7 +24,6 @@
 import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
-import org.geraniumford.transport.log.LogEvent;
 
 /** Chooses servers for one request and plans what is sent to them, using the gateway's estimates at that moment. */
 final class DispatchPlanner {
@@ -34,6 +31,7 @@
     private final AdmittedRequest admitted;
     private final SuspectRequest suspect;
     private final int requestBytes;
+    private final Supplier<Duration> timeLeft;
     private final Map<Integer, ScopedPrompt> scopedPromptsByWeights = new HashMap<>();
 
     /**
@@ -42,8 +40,10 @@
      * @param gateway the gateway whose state is used
      * @param admitted the request
      * @param message the message of the caller
+     * @param timeLeft returns how much longer the caller waits
      */
-    DispatchPlanner(Gateway gateway, AdmittedRequest admitted, FullHttpRequest message) {
+    DispatchPlanner(Gateway gateway, AdmittedRequest admitted, FullHttpRequest message, Supplier<Duration> timeLeft) {
+        this.timeLeft = timeLeft;
         this.gateway = gateway;
         this.admitted = admitted;
         this.suspect = SuspectRequest.of(admitted, message);
@@ -155,27 +155,19 @@
         return gateway.state().serverLimits();
     }
 
-    /** Returns whether the request should be refused, because every engine has more work than it finishes in time. */
-    boolean isOverloaded() {
-        return gateway.chooser().isOverloaded(gateway.state().directory(), query(Set.of(), false), System.nanoTime());
-    }
-
-    /** Logs the least load of any engine that could run the request; a refusal for overload is based on it. */
-    void logOverload() {
-        List<ServerLoad> loads = gateway.state().directory().activeServers(admitted.service()).stream()
-                .map(ServerState::totalLoad)
-                .toList();
-        LogEvent.of("overloaded")
-                .with("request", admitted.request().id())
-                .with("engines", loads.size())
-                .with("running", least(loads, ServerLoad::running))
-                .with("reserved_tokens", least(loads, ServerLoad::reservedTokens))
-                .with("queued_tokens", least(loads, ServerLoad::pendingPrefillTokens))
-                .info();
+    /**
+     * Returns the refusal of a request for which the servers have no room; empty if it may be sent.
+     *
+     * @param attemptedServers the ids of servers that are not chosen
+     * @param rejected whether a server rejected the request for lack of room
+     */
+    Optional<Refusal> refuseByOverload(Set<String> attemptedServers, boolean rejected) {
+        return gateway.overload().refuse(admitted, query(attemptedServers, false), rejected);
     }
 
-    private static long least(List<ServerLoad> loads, ToLongFunction<ServerLoad> figure) {
-        return loads.stream().mapToLong(figure).min().orElse(0);
+    /** Returns when a request should come again for which there is no server, or that servers rejected. */
+    Duration retryAfter() {
+        return gateway.overload().retryAfter(admitted, query(Set.of(), false));
     }
 
     /**
@@ -222,6 +214,7 @@
                 scoped.map(inScope -> cacheStores().firstUnsaved(inScope.sharedSegments()))
                         .orElse(OptionalLong.empty()),
                 admitted.route().latencyObjective(),
+                timeLeft.get(),
                 scoped.filter(this::isFetchable).isPresent(),
                 attemptedServers,
                 admitted.priority(),
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -33,11 +33,6 @@
     /** No attempt is started with this much time or less left, because it could hardly complete. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(30);
 
-    private static final Duration RETRY_AFTER = Duration.ofMillis(250);
-
-    /** Long enough for engines to finish the work in progress. */
-    private static final Duration OVERLOAD_RETRY_AFTER = Duration.ofSeconds(1);
-
     private final Gateway gateway;
     private final CallerExchange exchange;
     private final AdmittedRequest admitted;
@@ -55,6 +50,8 @@
 
     private final ResponseTimes times;
     private boolean finished;
+    /** Whether a server rejected the request for lack of room. */
+    private boolean rejected;
 
     ForwardedRequest(Gateway gateway, CallerExchange exchange, AdmittedRequest admitted) {
         this.gateway = gateway;
@@ -63,7 +60,7 @@
         this.machine = ForwardMachine.of(admitted.route());
         this.stream = StreamedResponse.of(gateway.protocol(), exchange);
         this.times = new ResponseTimes(gateway.metrics(), exchange.headReadNanos());
-        this.planner = new DispatchPlanner(gateway, admitted, exchange.request());
+        this.planner = new DispatchPlanner(gateway, admitted, exchange.request(), this::timeLeft);
     }
 
     // -- queries
@@ -110,13 +107,7 @@
         });
         deadlineTimer = gateway.loop()
                 .schedule(this::handleDeadlineExpired, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
-        if (planner.isOverloaded()) {
-            planner.logOverload();
-            refuse(Refusal.notRun(Reason.DEADLINE_UNREACHABLE, "every engine is overloaded")
-                    .withRetryAfter(OVERLOAD_RETRY_AFTER));
-        } else {
-            startNextAttempt();
-        }
+        startUnlessOverloaded();
     }
 
     /** Abandons the attempt at a silent server if the request may run elsewhere and the budget allows a retry. */
@@ -134,6 +125,11 @@
         }
     }
 
+    /** Starts an attempt of a request that has not run, if the servers have room for it. */
+    private void startUnlessOverloaded() {
+        planner.refuseByOverload(attemptedServers, rejected).ifPresentOrElse(this::refuse, this::startNextAttempt);
+    }
+
     private void startNextAttempt() {
         if (timeLeft().compareTo(MIN_ATTEMPT_TIME) <= 0) {
             handleDeadlineExpired();
@@ -161,7 +157,12 @@
 
     /** Starts the next attempt, after the round of I/O in which the caller may have left. */
     private void retry() {
-        if (!finished && exchange.isConnected()) {
+        if (finished || !exchange.isConnected()) {
+            return;
+        }
+        if (rejected && !machine.responseStarted() && !machine.mayHaveRun()) {
+            startUnlessOverloaded();
+        } else {
             startNextAttempt();
         }
     }
@@ -226,7 +227,7 @@
             refuse(planner.refuseByLimit(attemptedServers)
                     .or(planner::refuseByPause)
                     .orElseGet(
-                            () -> Refusal.notRun(Reason.NO_BACKEND, "no server").withRetryAfter(RETRY_AFTER)));
+                            () -> Refusal.notRun(Reason.NO_BACKEND, "no server").withRetryAfter(planner.retryAfter())));
         }
     }
 
@@ -234,6 +235,7 @@
 
     void handleAttemptEnd(Attempt ended, AttemptFailure failure, Reason reason) {
         attempt = null;
+        rejected |= reason == Reason.QUEUE_FULL;
         boolean mayRetry = timeLeft().compareTo(MIN_ATTEMPT_TIME) > 0 && !(decide() instanceof QuarantineDecision.Held);
         NextStep step =
                 machine.handleAttemptFailure(failure, mayRetry, () -> gateway.tryAcquireRetry(admitted.service()));
@@ -259,7 +261,7 @@
             case PASS_ERROR_ON -> forwardResponse(ended.takeFullResponse());
             case REFUSE ->
                 refuse(planner.refuseByPause()
-                        .orElseGet(() -> Refusal.notRun(reason, "not run").withRetryAfter(RETRY_AFTER)));
+                        .orElseGet(() -> Refusal.notRun(reason, "not run").withRetryAfter(planner.retryAfter())));
             case FAIL -> refuse(Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "the server failed"));
             case CUT_OFF -> abortStream(reason.label());
             default -> throw new IllegalStateException("no case for " + step);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -51,6 +51,7 @@
     private final ServerChooser chooser;
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Set<ForwardedRequest> activeRequests = new HashSet<>();
+    private final OverloadControl overload = new OverloadControl(this);
     private boolean refusing;
     private long lastTickNanos = System.nanoTime();
     private long silenceValidFromNanos = lastTickNanos;
@@ -304,6 +305,14 @@
         return responseMemory;
     }
 
+    OverloadControl overload() {
+        return overload;
+    }
+
+    List<AdmittedRequest> requestsInProgress() {
+        return activeRequests.stream().map(ForwardedRequest::admitted).toList();
+    }
+
     ServerChooser chooser() {
         return chooser;
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.metrics.ReasonCounters;
 
@@ -14,6 +15,7 @@
 
     private static final Duration BUCKET_BOUND_LIMIT = Duration.ofSeconds(15);
 
+    private final MeterRegistry registry;
     private final ReasonCounters reasons;
     private final Counter requests;
     private final Counter callerDisconnects;
@@ -22,6 +24,7 @@
     private final Timer oldWeightsAge;
 
     private GatewayMetrics(MeterRegistry registry) {
+        this.registry = registry;
         reasons = ReasonCounters.of(registry);
         requests = registry.counter("geraniumford.requests");
         callerDisconnects = registry.counter("geraniumford.callers.left");
@@ -75,6 +78,17 @@
         reasons.countRefusal(reason);
     }
 
+    /**
+     * Counts a request that was refused because the servers have no room for it.
+     *
+     * @param priority the priority of the request; numbers above the least urgent priority count as that
+     */
+    public void countOverloaded(int priority) {
+        int level = Math.min(priority, ServerLoad.LEAST_URGENT);
+        registry.counter("geraniumford.overloaded", "priority", String.valueOf(level))
+                .increment();
+    }
+
     /**
      * Counts a retry.
      *
