--- a/core/src/main/java/org/geraniumford/core/fleet/ServerSpeed.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerSpeed.java
@@ -66,6 +66,18 @@
         return Duration.ofNanos(Math.round(prefillMillis(tokens) * NANOS_PER_MILLI));
     }
 
+    /**
+     * Estimates when a server of a plain service would respond to a new request.
+     *
+     * @param running the requests of all entries in progress at the server
+     * @param slots how many requests the server processes concurrently
+     * @return the time in milliseconds for the waiting and the request itself; empty if it is not known
+     */
+    public OptionalDouble millisToResponse(int running, int slots) {
+        double rounds = Math.max(1, Math.ceil((running + 1.0) / Math.max(1, slots)));
+        return requestMs.isEmpty() ? requestMs : OptionalDouble.of(requestMs.getAsDouble() * rounds);
+    }
+
     /**
      * Returns whether another speed differs by more than a factor in any component that both know, or one of them knows
      * a component that the other does not.
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -24,11 +24,17 @@
     private long kvCapacityTokens;
     private ServerLoad localLoad;
     private final PeerLoads peerLoads;
+    /** The last result of {@link #totalLoad} and what it was added up from; each decision asks for it several times. */
+    private ServerLoad sum;
+
+    private ServerLoad summedLocal;
+    private ServerLoad summedPeers;
     private final Reachability reachability = Reachability.unknown();
     private final ServerLimit limit = ServerLimit.none(ThreadLocalRandom.current());
     private final SpeedEstimate speedEstimate = SpeedEstimate.empty();
     private ServerSpeed speed = ServerSpeed.UNKNOWN;
     private ServerPause pause = ServerPause.none(ThreadLocalRandom.current());
+    private final RejectionMark rejection = RejectionMark.none();
     private double failureRate;
     private long loadingUntilNanos;
     private boolean loading;
@@ -122,8 +128,15 @@
      *
      * @return the sum of the entry's own load and the loads that its peers announced
      */
+    @SuppressWarnings("ReferenceEquality") // Equal loads at different addresses only cost another addition.
     public ServerLoad totalLoad() {
-        return localLoad.plus(peerLoads.total());
+        ServerLoad peers = peerLoads.total();
+        if (summedLocal != localLoad || summedPeers != peers) {
+            summedLocal = localLoad;
+            summedPeers = peers;
+            sum = localLoad.plus(peers);
+        }
+        return sum;
     }
 
     /**
@@ -216,6 +229,15 @@
         return pause;
     }
 
+    /**
+     * Returns the record of the server's rejections for lack of room.
+     *
+     * @return the record, which is mutable
+     */
+    public RejectionMark rejection() {
+        return rejection;
+    }
+
     /**
      * Returns whether the server is assumed to be loading weights, during which it runs no requests.
      *
@@ -313,9 +335,7 @@
      * @param priority the priority of the request
      */
     public void recordAttemptStart(long reservedTokens, long prefillTokens, int priority) {
-        localLoad = localLoad
-                .plus(new ServerLoad(server.id(), 1, reservedTokens, 0))
-                .plus(ServerLoad.pending(server.id(), priority, prefillTokens));
+        localLoad = localLoad.plus(ServerLoad.of(server.id(), priority, 1, reservedTokens, prefillTokens));
     }
 
     /**
@@ -325,16 +345,17 @@
      * @param priority the priority of the request
      */
     public void recordPrefilled(long prefillTokens, int priority) {
-        localLoad = localLoad.minus(ServerLoad.pending(server.id(), priority, prefillTokens));
+        localLoad = localLoad.minus(ServerLoad.of(server.id(), priority, 0, 0, prefillTokens));
     }
 
     /**
      * Records that a request has ended.
      *
      * @param reservedTokens the memory that {@link #recordAttemptStart} recorded for the request, in tokens
+     * @param priority the priority of the request
      */
-    public void recordEnded(long reservedTokens) {
-        localLoad = localLoad.plus(new ServerLoad(server.id(), -1, -reservedTokens, 0));
+    public void recordEnded(long reservedTokens, int priority) {
+        localLoad = localLoad.minus(ServerLoad.of(server.id(), priority, 1, reservedTokens, 0));
     }
 
     /**
@@ -350,6 +371,7 @@
     /** Records a successful response, which ends the server's suspension and lowers its failure rate. */
     public void recordSuccess() {
         reachability.recordSuccess();
+        rejection.recordSuccess();
         failureRate -= failureRate * FAILURE_RATE_SMOOTHING;
     }
 
@@ -360,4 +382,18 @@
     public void recordFailure() {
         failureRate += (1 - failureRate) * FAILURE_RATE_SMOOTHING;
     }
+
+    /**
+     * Records that the engine rejected a request because it was full. Ignores the rejection of a request that exceeds
+     * the engine's memory, because an idle engine rejects it as well.
+     *
+     * @param reservedTokens the memory that the request needs, in tokens
+     * @param priority the priority of the request
+     * @param nowNanos the current time, from {@link System#nanoTime}
+     */
+    public void recordFull(long reservedTokens, int priority, long nowNanos) {
+        if (kvCapacityTokens == 0 || reservedTokens <= kvCapacityTokens) {
+            rejection.recordRejection(priority, nowNanos);
+        }
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -10,6 +10,7 @@
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
+import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.stream.EventFramer;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.HeldBody;
@@ -77,6 +78,10 @@
         return detail;
     }
 
+    private Optional<PromptSpec> prompt() {
+        return request.admitted().request().prompt();
+    }
+
     /** Returns the buffered response, whose body is then no longer released by this attempt. */
     FullHttpResponse takeFullResponse() {
         return request.fullResponse(head, body.take());
@@ -219,16 +224,13 @@
     }
 
     private void recordWeightsVersion() {
-        request.admitted()
-                .request()
-                .prompt()
-                .ifPresent(prompt -> request.gateway()
-                        .protocol()
-                        .weightsVersion(head)
-                        .ifPresent(version -> {
-                            weights.applyResponse(version);
-                            server.recordWeightsVersion(prompt.model(), version);
-                        }));
+        prompt().ifPresent(prompt -> request.gateway()
+                .protocol()
+                .weightsVersion(head)
+                .ifPresent(version -> {
+                    weights.applyResponse(version);
+                    server.recordWeightsVersion(prompt.model(), version);
+                }));
     }
 
     @Override
@@ -316,19 +318,20 @@
      * by another server at its address.
      */
     private void handleMisdirected() {
-        request.admitted()
-                .request()
-                .prompt()
-                .ifPresent(prompt -> dispatch.engine()
-                        .map(EngineDispatch::weightsVersion)
-                        .filter(OptionalInt::isPresent)
-                        .ifPresent(expectedVersion ->
-                                server.invalidateWeightsVersion(prompt.model(), expectedVersion.getAsInt())));
+        prompt().ifPresent(prompt -> dispatch.engine()
+                .map(EngineDispatch::weightsVersion)
+                .filter(OptionalInt::isPresent)
+                .ifPresent(expectedVersion ->
+                        server.invalidateWeightsVersion(prompt.model(), expectedVersion.getAsInt())));
         recordWeightsVersion();
     }
 
     private void handleRejection(Reason reason) {
-        server.reachability().recordRejection(System.nanoTime());
+        if (reason == Reason.QUEUE_FULL && prompt().isPresent()) {
+            server.recordFull(totalTokens, request.admitted().priority(), System.nanoTime());
+        } else {
+            server.reachability().recordRejection(System.nanoTime());
+        }
         endWithFailure(new AttemptFailure.TurnedAway(), reason);
     }
 
@@ -341,8 +344,7 @@
             return;
         }
         boolean ranPrompt = head.status().code() == 200;
-        if (!isStreamResponse()
-                && (ranPrompt || request.admitted().request().prompt().isEmpty())) {
+        if (!isStreamResponse() && (ranPrompt || prompt().isEmpty())) {
             attemptPrompt.recordWholeEvent();
         }
         markEnded();
@@ -391,6 +393,6 @@
         ended = true;
         attemptPrompt.release();
         recordPrefillEnd();
-        server.recordEnded(totalTokens);
+        server.recordEnded(totalTokens, request.admitted().priority());
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -53,6 +53,7 @@
     private final PrefixTransfers prefixTransfers;
     private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
     private final Set<ForwardedRequest> activeRequests = new HashSet<>();
+    private final OverloadControl overload = new OverloadControl(this);
     private boolean refusing;
     private long lastTickNanos = System.nanoTime();
     private long silenceValidFromNanos = lastTickNanos;
@@ -309,6 +310,14 @@
         return responseMemory;
     }
 
+    OverloadControl overload() {
+        return overload;
+    }
+
+    List<AdmittedRequest> requestsInProgress() {
+        return activeRequests.stream().map(ForwardedRequest::admitted).toList();
+    }
+
     ServerChooser chooser() {
         return chooser;
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.DoubleSummaryStatistics;
+import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.metrics.ReasonCounters;
 
@@ -16,6 +17,7 @@
 
     private static final Duration BUCKET_BOUND_LIMIT = Duration.ofSeconds(15);
 
+    private final MeterRegistry registry;
     private final ReasonCounters reasons;
     private final Counter requests;
     private final Counter callerDisconnects;
@@ -29,6 +31,7 @@
     private volatile double fastestPrefill = Double.NaN;
 
     private GatewayMetrics(MeterRegistry registry) {
+        this.registry = registry;
         reasons = ReasonCounters.of(registry);
         requests = registry.counter("geraniumford.requests");
         callerDisconnects = registry.counter("geraniumford.callers.left");
@@ -89,6 +92,17 @@
         reasons.countRefusal(reason);
     }
 
+    /**
+     * Counts a request that was refused because the servers have no room for it.
+     *
+     * @param priority the priority of the request; numbers above the least urgent priority count as that
+     */
+    public void countOverloaded(int priority) {
+        int level = Math.min(priority, ServerLoad.LEAST_URGENT);
+        registry.counter("geraniumford.overloaded", "priority", String.valueOf(level))
+                .increment();
+    }
+
     /**
      * Counts a retry.
      *
