Limits of customers hold over all entries

Limits in the configuration were not read, so a customer of 1,000 tokens per second got 27,400 tokens in 8 s where 10,200 are allowed.

Each entry now keeps the account of each customer with a limit, debits its own attempts at once and those of its peers when they announce them, and refuses with 429 and the time until there is room. An entry that does not hear all others uses only the part of those it hears.

--- a/core/src/main/java/org/geraniumford/core/limits/RateBucket.java
+++ b/core/src/main/java/org/geraniumford/core/limits/RateBucket.java
@@ -30,6 +30,11 @@
         balance = Math.min(balance, amount);
     }
 
+    /** Raises the balance to an amount; a higher one is kept. */
+    void raiseTo(double amount) {
+        balance = Math.max(balance, amount);
+    }
+
     // -- queries
 
     double balance() {
--- a/core/src/main/java/org/geraniumford/core/service/RoutingTable.java
+++ b/core/src/main/java/org/geraniumford/core/service/RoutingTable.java
@@ -18,22 +18,22 @@
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceDefinition> services;
     private final Map<String, ApiCustomer> customersByKey;
+    private final List<ApiCustomer> customers;
     private final CallerLimits limits;
-    private final boolean requiresApiKey;
 
     private RoutingTable(
             long version,
             Map<String, List<Route>> routesByHost,
             Map<String, ServiceDefinition> services,
             Map<String, ApiCustomer> customersByKey,
-            CallerLimits limits,
-            boolean requiresApiKey) {
+            List<ApiCustomer> customers,
+            CallerLimits limits) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.services = services;
         this.customersByKey = customersByKey;
         this.limits = limits;
-        this.requiresApiKey = requiresApiKey;
+        this.customers = customers;
     }
 
     // -- construction
@@ -64,7 +64,7 @@
         Map<String, ApiCustomer> byKey = new HashMap<>();
         customers.forEach(customer -> customer.keys().forEach(key -> byKey.put(key, customer)));
         return new RoutingTable(
-                version, byHost, byName, byKey, requireNonNull(limits, "limits is null"), !customers.isEmpty());
+                version, byHost, byName, byKey, List.copyOf(customers), requireNonNull(limits, "limits is null"));
     }
 
     // -- queries
@@ -112,13 +112,22 @@
         return Optional.ofNullable(customersByKey.get(key));
     }
 
+    /**
+     * Returns all customers.
+     *
+     * @return the customers in the order of the configuration
+     */
+    public List<ApiCustomer> customers() {
+        return customers;
+    }
+
     /**
      * Returns whether requests need an API key.
      *
      * @return true if the configuration has customers
      */
     public boolean requiresApiKey() {
-        return requiresApiKey;
+        return !customers.isEmpty();
     }
 
     /**
--- a/core/src/main/java/org/geraniumford/core/verdict/Reason.java
+++ b/core/src/main/java/org/geraniumford/core/verdict/Reason.java
@@ -34,6 +34,8 @@
     TOKEN_RATE_LIMITED(429, true),
     /** The customer reached its limit of concurrent streams. */
     STREAMS_LIMITED(429, true),
+    /** The customer used what its limit over all entries allows. */
+    CUSTOMER_LIMIT_REACHED(429, true),
     /** A queue in front of the backend server is full. */
     QUEUE_FULL(503, true),
     /** The estimated wait exceeds the deadline of the priority class. */
--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.geraniumford.core.fleet.CacheGossip;
 import org.geraniumford.core.fleet.ServerGossip;
+import org.geraniumford.core.limits.CustomerUse;
 import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.prefix.Block;
 import org.geraniumford.core.prefix.CacheScope;
@@ -379,16 +380,19 @@
      * @param lease the weights lease as the sender last read, wrote or received it; empty if not renewed recently
      * @param cache the cache changes caused by the requests that the sender forwarded since its last gossip
      * @param quarantine the prompt segments under which engines ended
+     * @param customers what the sender has used of customers' limits; only changes unless the message is complete
      */
     record Gossip(
             ServerGossip servers,
             List<PublishedWeights> weights,
             LeaseSnapshot lease,
             CacheGossip cache,
-            QuarantineGossip quarantine)
+            QuarantineGossip quarantine,
+            List<CustomerUse> customers)
             implements Message {
         /** Copies the lists. */
         public Gossip {
+            customers = List.copyOf(customers);
             weights = List.copyOf(weights);
         }
     }
--- a/core/src/test/java/org/geraniumford/core/service/RoutingTableTest.java
+++ b/core/src/test/java/org/geraniumford/core/service/RoutingTableTest.java
@@ -35,7 +35,8 @@
                     route("long", "a.example", "/x/y/"),
                     route("b", "b.example", "/")),
             List.of(cacheStore("store-b", "10.0.0.2:80"), cacheStore("store-a", "10.0.0.1:80")),
-            List.of(new ApiCustomer("customer-1", List.of("key-1", "key-2"), OptionalInt.empty(), true)),
+            List.of(new ApiCustomer(
+                    "customer-1", List.of("key-1", "key-2"), OptionalInt.empty(), true, Optional.empty())),
             CallerLimits.DEFAULT);
 
     @Test
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -44,6 +44,7 @@
     private final ForwardMachine machine;
     private final DispatchPlanner planner;
     private final StreamedResponse stream;
+    private final CustomerCharge charge;
     private final Set<String> attemptedServers = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
     private Optional<ServerState> backupServer = Optional.empty();
@@ -63,6 +64,7 @@
         this.machine = ForwardMachine.of(admitted.route());
         this.stream = StreamedResponse.of(gateway.protocol(), exchange);
         this.times = new ResponseTimes(gateway.metrics(), exchange.headReadNanos());
+        this.charge = gateway.state().customerLimits().charge(admitted);
         this.planner = new DispatchPlanner(gateway, admitted, exchange.request());
     }
 
@@ -171,6 +173,7 @@
     }
 
     private void startAttempt(ServerState server, Dispatch dispatch, long prefillTokens) {
+        charge.startAttempt();
         attempt = new Attempt(this, server, dispatch, prefillTokens);
         attempt.start();
     }
@@ -234,7 +237,10 @@
 
     void handleAttemptEnd(Attempt ended, AttemptFailure failure, Reason reason) {
         attempt = null;
-        boolean mayRetry = timeLeft().compareTo(MIN_ATTEMPT_TIME) > 0 && !(decide() instanceof QuarantineDecision.Held);
+        charge.endAttempt(failure.verdict());
+        boolean mayRetry = timeLeft().compareTo(MIN_ATTEMPT_TIME) > 0
+                && !(decide() instanceof QuarantineDecision.Held)
+                && charge.allowsRetry(failure.verdict());
         NextStep step =
                 machine.handleAttemptFailure(failure, mayRetry, () -> gateway.tryAcquireRetry(admitted.service()));
         LogEvent.of("attempt_ended")
@@ -358,6 +364,7 @@
 
     private void abortAttempt() {
         if (attempt != null) {
+            charge.endAttempt(attempt.isSent() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN);
             attempt.abort();
             attempt = null;
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -179,6 +179,13 @@
                 customer,
                 timeLimit(request, route.get()),
                 routingTable.get().version());
+        Optional<Refusal> refusal = state.customerLimits().refuse(admitted);
+        if (refusal.isPresent()) {
+            // Logged with its number by the customer's limit, because a customer may send any number of them.
+            metrics.countRefusal(refusal.get().reason());
+            respondRefusal(exchange, request.id(), refusal.get());
+            return;
+        }
         retryBudget(admitted.service()).recordRequest(System.nanoTime());
         ForwardedRequest forwarded = new ForwardedRequest(this, exchange, admitted);
         activeRequests.add(forwarded);
@@ -199,6 +206,10 @@
                         state.routingTable().map(RoutingTable::version).orElse(0L))
                 .info();
         metrics.countRefusal(refusal.reason());
+        respondRefusal(exchange, requestId, refusal);
+    }
+
+    private void respondRefusal(CallerExchange exchange, String requestId, Refusal refusal) {
         exchange.respond(protocol.encodeRefusal(refusal, requestId));
         exchange.release();
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import org.geraniumford.core.limits.QuotaTolerance;
 
 /**
  * The limits that a deployment sets on the gateway.
@@ -13,13 +14,15 @@
  *     the ratio
  * @param maxWeightsStaleness how long after the publication of newer weights a request may still begin on older ones
  * @param shutdownGrace how long a process may keep running after it was ordered to stop
+ * @param quotaTolerance by how much the entries together may exceed a customer's limit
  */
 public record GatewayLimits(
         double retryRatio,
         Duration retryWindow,
         double retrySlack,
         Duration maxWeightsStaleness,
-        Duration shutdownGrace) {
+        Duration shutdownGrace,
+        QuotaTolerance quotaTolerance) {
     /** The time in which a request that is sent is expected to begin at its engine. */
     private static final Duration EXPECTED_TIME_TO_BEGIN = Duration.ofSeconds(1);
 
@@ -34,6 +37,7 @@
         requireNonNull(retryWindow, "retryWindow is null");
         requireNonNull(maxWeightsStaleness, "maxWeightsStaleness is null");
         requireNonNull(shutdownGrace, "shutdownGrace is null");
+        requireNonNull(quotaTolerance, "quotaTolerance is null");
     }
 
     // -- queries
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.limits.QuotaTolerance;
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
@@ -34,6 +35,7 @@
     private final ServerLimits serverLimits = ServerLimits.of(directory, this::sharedMillis);
     private final ServerAvailability serverAvailability = ServerAvailability.of(directory);
     private final CacheStores cacheStores = CacheStores.empty();
+    private final CustomerLimits customerLimits;
     private final SharedClock clock;
     private Runnable loadListener = () -> {};
     private RoutingTable routingTable;
@@ -41,8 +43,9 @@
     private boolean serverListLoaded;
     private int entryCount = ASSUMED_ENTRIES;
 
-    private GatewayState(String failureDomain, SharedClock clock) {
+    private GatewayState(String failureDomain, SharedClock clock, QuotaTolerance quotaTolerance) {
         this.failureDomain = failureDomain;
+        this.customerLimits = CustomerLimits.of(quotaTolerance);
         this.clock = clock;
     }
 
@@ -58,6 +61,20 @@
         return of(failureDomain, SharedClock.of(System::nanoTime));
     }
 
+    /**
+     * Creates a state without configuration, servers or peers.
+     *
+     * @param failureDomain the failure domain of this entry
+     * @param quotaTolerance by how much the entries together may exceed a customer's limit
+     * @return an empty state
+     */
+    public static GatewayState of(String failureDomain, QuotaTolerance quotaTolerance) {
+        return new GatewayState(
+                requireNonNull(failureDomain, "failureDomain is null"),
+                SharedClock.of(System::nanoTime),
+                quotaTolerance);
+    }
+
     /**
      * Creates a state without configuration, servers or peers.
      *
@@ -67,7 +84,9 @@
      */
     static GatewayState of(String failureDomain, SharedClock clock) {
         return new GatewayState(
-                requireNonNull(failureDomain, "failureDomain is null"), requireNonNull(clock, "clock is null"));
+                requireNonNull(failureDomain, "failureDomain is null"),
+                requireNonNull(clock, "clock is null"),
+                QuotaTolerance.DEFAULT);
     }
 
     // -- queries
@@ -117,6 +136,15 @@
         return serverLimits;
     }
 
+    /**
+     * Returns the limits of customers over all entries.
+     *
+     * @return the limits, which change over time
+     */
+    public CustomerLimits customerLimits() {
+        return customerLimits;
+    }
+
     /**
      * Returns what backend servers say about taking further requests.
      *
@@ -268,6 +296,7 @@
         routingTable = table;
         directory.refreshEngineSpecs();
         cacheStores.configure(table.cacheStores());
+        customerLimits.applyConfiguration(table.customers());
         return true;
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -228,6 +228,7 @@
         state.updateAlivePeers(lastSeenNanos.keySet());
         quarantine.updatePeers(lastSeenNanos.keySet());
         state.directory().updateEntryShare(connectors.entryShare(lastSeenNanos.size(), nowNanos));
+        state.customerLimits().accounts().updateEntries(connectors.listedEntries(nowNanos), nowNanos);
         heardPeers = lastSeenNanos.size();
         linkCount = links.count();
         reportIfDue(nowNanos);
@@ -235,7 +236,8 @@
 
     private boolean hasChanges() {
         return !announcedLoads.changes(state.directory().localLoads()).isEmpty()
-                || !state.cacheStores().savedSegments().unannounced().isEmpty();
+                || !state.cacheStores().savedSegments().unannounced().isEmpty()
+                || state.customerLimits().accounts().hasChanges();
     }
 
     /** Sends what has changed to the peers, or all state to those that do not have it and now and then to all. */
@@ -257,6 +259,7 @@
         links.toPeers().forEach(link -> send(link, messages, lease, refresh));
         announcedLoads.record(loads);
         state.cacheStores().savedSegments().markAnnounced();
+        state.customerLimits().accounts().markAnnounced();
         state.directory().markAnnounced();
     }
 
@@ -281,7 +284,8 @@
                 new CacheGossip(
                         state.cacheStores().savedSegments().unannounced(),
                         state.directory().unannouncedPrefills()),
-                quarantine.gossip(announcedNanos));
+                quarantine.gossip(announcedNanos),
+                state.customerLimits().accounts().announce(complete, announcedNanos));
     }
 
     /** Logs what the peers cost, so that late or lost gossip can be told from other causes of a bad choice. */
@@ -331,7 +335,7 @@
     private void handleMessage(Link link, String peer, Envelope envelope) {
         Message message = envelope.message();
         if (message instanceof Message.Gossip gossip) {
-            applyGossip(peer, gossip);
+            applyGossip(peer, envelope.incarnation(), gossip);
         } else if (message instanceof Message.ConfigurationRequest request) {
             configurations.requested(link, request);
         } else if (message instanceof Message.ConfigurationResponse response) {
@@ -341,7 +345,7 @@
     }
 
     /** Applies a message. A part that cannot be applied costs neither the other parts nor the link. */
-    private void applyGossip(String peer, Message.Gossip gossip) {
+    private void applyGossip(String peer, long incarnation, Message.Gossip gossip) {
         if (lastSeenNanos.put(peer, System.nanoTime()) == null) {
             LogEvent.of("peer_heard").with("peer", peer).info();
         }
@@ -367,6 +371,8 @@
                 "gossip of prefilled",
                 () -> state.directory().applyGossip(gossip.cache().prefilled()));
         Guarded.run("gossip of quarantine", () -> quarantine.applyGossip(peer, gossip.quarantine(), nowNanos));
+        Guarded.run(
+                "gossip of customers", () -> state.customerLimits().applyGossip(peer, incarnation, gossip.customers()));
         Guarded.run(
                 "gossip of limits",
                 () -> state.serverLimits().applyGossip(peer, gossip.servers().limits()));
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/PeerConnectors.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/PeerConnectors.java
@@ -73,6 +73,17 @@
         return EntryShare.of(heardPeers, OptionalInt.of(entries), (double) before / entries);
     }
 
+    /** Returns how many entries there are, including this one; empty if no list of them was read yet. */
+    OptionalInt listedEntries(long nowNanos) {
+        if (!listed) {
+            return OptionalInt.empty();
+        }
+        return OptionalInt.of((int) connectors.values().stream()
+                        .filter(connector -> connector.isRecent(nowNanos))
+                        .count()
+                + 1);
+    }
+
     // -- commands
 
     void add(Collection<InetSocketAddress> addresses) {
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.limits.QuotaTolerance;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.Route;
 import org.geraniumford.core.service.RouteKind;
@@ -35,7 +36,8 @@
             state,
             (GatewayProtocol) Proxy.newProxyInstance(
                     getClass().getClassLoader(), new Class<?>[] {GatewayProtocol.class}, (proxy, method, args) -> null),
-            new GatewayLimits(0.2, Duration.ofSeconds(10), 100, MAX_STALENESS, Duration.ofSeconds(8)),
+            new GatewayLimits(
+                    0.2, Duration.ofSeconds(10), 100, MAX_STALENESS, Duration.ofSeconds(8), QuotaTolerance.DEFAULT),
             GatewayMetrics.of(new SimpleMeterRegistry()),
             PromptQuarantine.of("host", new SimpleMeterRegistry()),
             ResponseMemory.ofHeap(),
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -14,6 +14,7 @@
 import org.geraniumford.core.fleet.ScopedSegment;
 import org.geraniumford.core.fleet.ServerGossip;
 import org.geraniumford.core.fleet.ServerLoad;
+import org.geraniumford.core.limits.CustomerUse;
 import org.geraniumford.core.limits.LimitOwner;
 import org.geraniumford.core.limits.ServerLimitUse;
 import org.geraniumford.core.prefix.Block;
@@ -61,8 +62,8 @@
                                 List.of(Long.MIN_VALUE, 5L),
                                 List.of(new PrefilledSegments("server-1", List.of(new ScopedSegment(-7, 3780))))),
                         new QuarantineGossip(
-                                List.of(new SuspectSegment(-9, 3, 1, 1500, List.of(Long.MAX_VALUE, 2L))),
-                                List.of(-9L))),
+                                List.of(new SuspectSegment(-9, 3, 1, 1500, List.of(Long.MAX_VALUE, 2L))), List.of(-9L)),
+                        List.of(new CustomerUse("customer-1", 1_200_000, -5_000_000, true, 3))),
                 new Message.Hello("entry-1", Role.ENTRY, "kigali-a", ""),
                 new Message.SidecarState("", "draft-2", "abc", 3, true, 12),
                 new Message.Probe(1, "abc", List.of(-5L, Long.MAX_VALUE)),
@@ -124,7 +125,8 @@
                 List.of(),
                 LeaseSnapshot.empty(),
                 new CacheGossip(List.of(), List.of()),
-                new QuarantineGossip(suspects, List.of()));
+                new QuarantineGossip(suspects, List.of()),
+                List.of());
         assertThat(FrameCodec.encode(new Envelope(1, 1, 1, gossip))).hasSizeLessThanOrEqualTo(8192);
     }
 
