--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -3,21 +3,19 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.fleet.ServerSpeeds;
+import org.geraniumford.core.limits.QuotaTolerance;
 import org.geraniumford.core.service.CallerLimits;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.time.SharedClock;
 import org.geraniumford.core.weights.PublishedWeights;
-import org.geraniumford.core.weights.WeightsHistory;
 import org.geraniumford.transport.log.LogEvent;
 
 /** The gateway's estimate of the state of its deployment. Used only on the network thread of the gateway. */
@@ -31,11 +29,12 @@
     private final String failureDomain;
     private final ServerDirectory directory = ServerDirectory.empty(
             name -> routingTable().flatMap(table -> table.service(name)).flatMap(ServiceDefinition::engine));
-    private final Map<String, WeightsHistory> weightsHistories = new HashMap<>();
+    private final WeightsHistories weights = WeightsHistories.empty();
     private final ServerLimits serverLimits = ServerLimits.of(directory, this::sharedMillis);
     private final ServerAvailability serverAvailability = ServerAvailability.of(directory);
     private final ServerSpeeds serverSpeeds = ServerSpeeds.of(directory);
     private final CacheStores cacheStores = CacheStores.empty();
+    private final CustomerLimits customerLimits;
     private final SharedClock clock;
     private Runnable loadListener = () -> {};
     private RoutingTable routingTable;
@@ -43,8 +42,9 @@
     private boolean serverListLoaded;
     private int entryCount = ASSUMED_ENTRIES;
 
-    private GatewayState(String failureDomain, SharedClock clock) {
+    private GatewayState(String failureDomain, SharedClock clock, QuotaTolerance quotaTolerance) {
         this.failureDomain = failureDomain;
+        this.customerLimits = CustomerLimits.of(quotaTolerance);
         this.clock = clock;
     }
 
@@ -60,6 +60,20 @@
         return of(failureDomain, SharedClock.of(System::nanoTime));
     }
 
+    /**
+     * Creates a state without configuration, servers or peers.
+     *
+     * @param failureDomain the failure domain of this entry
+     * @param quotaTolerance by how much the entries together may exceed a customer's limit
+     * @return an empty state
+     */
+    public static GatewayState of(String failureDomain, QuotaTolerance quotaTolerance) {
+        return new GatewayState(
+                requireNonNull(failureDomain, "failureDomain is null"),
+                SharedClock.of(System::nanoTime),
+                quotaTolerance);
+    }
+
     /**
      * Creates a state without configuration, servers or peers.
      *
@@ -69,7 +83,9 @@
      */
     static GatewayState of(String failureDomain, SharedClock clock) {
         return new GatewayState(
-                requireNonNull(failureDomain, "failureDomain is null"), requireNonNull(clock, "clock is null"));
+                requireNonNull(failureDomain, "failureDomain is null"),
+                requireNonNull(clock, "clock is null"),
+                QuotaTolerance.DEFAULT);
     }
 
     // -- queries
@@ -119,6 +135,15 @@
         return serverLimits;
     }
 
+    /**
+     * Returns the limits of customers over all entries.
+     *
+     * @return the limits, which change over time
+     */
+    public CustomerLimits customerLimits() {
+        return customerLimits;
+    }
+
     /**
      * Returns what backend servers say about taking further requests.
      *
@@ -144,7 +169,7 @@
      * @return the version; 0 if none was published
      */
     public int publishedWeights(String model) {
-        return history(model).newest();
+        return weights.of(model).newest();
     }
 
     /**
@@ -167,9 +192,7 @@
      * @return the version by the name of the model; a model without a published version is absent
      */
     public Map<String, Integer> publishedWeights() {
-        return weightsHistories.entrySet().stream()
-                .collect(Collectors.toMap(
-                        Map.Entry::getKey, entry -> entry.getValue().newest()));
+        return weights.newest();
     }
 
     /**
@@ -179,10 +202,7 @@
      *     entry's start if none is newer
      */
     public List<PublishedWeights> weightsGossip() {
-        long nowNanos = clock.nanos();
-        return weightsHistories.entrySet().stream()
-                .flatMap(entry -> entry.getValue().gossip(entry.getKey(), nowNanos).stream())
-                .toList();
+        return weights.gossip(clock.nanos());
     }
 
     /**
@@ -193,7 +213,7 @@
      * @return the version; 0 if every version is allowed
      */
     public int oldestAllowedWeights(String model, Duration maxStaleness) {
-        return history(model).oldestAllowed(maxStaleness, clock.nanos());
+        return weights.of(model).oldestAllowed(maxStaleness, clock.nanos());
     }
 
     /**
@@ -205,11 +225,7 @@
      * @return the time left; zero or negative if requests may no longer begin on it, or if that is not known
      */
     public Duration weightsTimeLeft(String model, int version, Duration maxStaleness) {
-        return history(model).timeLeft(version, maxStaleness, clock.nanos());
-    }
-
-    private WeightsHistory history(String model) {
-        return weightsHistories.getOrDefault(model, WeightsHistory.empty());
+        return weights.of(model).timeLeft(version, maxStaleness, clock.nanos());
     }
 
     /**
@@ -279,6 +295,7 @@
         routingTable = table;
         directory.refreshEngineSpecs();
         cacheStores.configure(table.cacheStores());
+        customerLimits.applyConfiguration(table.customers());
         return true;
     }
 
@@ -305,24 +322,7 @@
             // Only readings of the clock itself count afterwards, so that no error goes from entry to entry.
             observeSharedClock(published.publishedMillis() + published.ageMillis());
         }
-        WeightsHistory history = weightsHistories.computeIfAbsent(published.model(), model -> WeightsHistory.empty());
-        if (published.version() > history.newest()) {
-            LogEvent.of("weights_named")
-                    .with("model", published.model())
-                    .with("version", published.version())
-                    .with("age_ms", published.ageMillis())
-                    .with("witnessed", published.publicationObserved())
-                    .with("source", source)
-                    .info();
-        }
-        long nowNanos = clock.nanos();
-        long publishedOrFoundNanos =
-                Duration.ofMillis(published.publishedMillis()).toNanos();
-        if (published.publicationObserved()) {
-            history.recordPublished(published.version(), publishedOrFoundNanos, nowNanos);
-        } else {
-            history.recordInitial(published.version(), publishedOrFoundNanos, nowNanos);
-        }
+        weights.record(published, source, clock.nanos());
     }
 
     /**
