--- a/core/src/main/java/org/geraniumford/core/limits/CustomerAccount.java
+++ b/core/src/main/java/org/geraniumford/core/limits/CustomerAccount.java
@@ -195,8 +195,8 @@
         announcedUsed = used;
     }
 
-    /** Applies what a peer announced. */
-    void applyGossip(String peer, CustomerUse told, long nowNanos) {
+    /** Applies what a peer announced, and returns whether it has used anything since its last message. */
+    boolean applyGossip(String peer, CustomerUse told, long nowNanos) {
         refill(nowNanos);
         double toldBalance = told.milliBalance() / MILLI;
         Long usedBefore = usedByPeer.put(peer, told.used());
@@ -214,6 +214,7 @@
             settled = true;
         }
         turns.recordPeerWaiting(told.waitingPriority(), nowNanos);
+        return usedBefore == null || usedBefore != told.used();
     }
 
     /** Debits what a peer has used. What it used while it was silent was left to it, and is debited beyond that. */
--- a/core/src/main/java/org/geraniumford/core/limits/CustomerAccounts.java
+++ b/core/src/main/java/org/geraniumford/core/limits/CustomerAccounts.java
@@ -22,17 +22,46 @@
     /** A use is part of complete messages for this long, so that a peer that missed it learns of it. */
     private static final Duration REPETITION_TIME = Duration.ofSeconds(10);
 
+    /** What a message announces. */
+    public enum Extent {
+        /** The customers whose use changed since the last announcement. */
+        CHANGES,
+        /** Also those that were used recently or have not their whole burst left, for peers that missed a message. */
+        RECENT,
+        /** All, for peers that know nothing yet. */
+        ALL;
+
+        /**
+         * Returns what a message announces.
+         *
+         * @param complete whether the receivers may have missed earlier messages
+         * @param allInformed whether every peer had a complete message before
+         * @return the least extent that suffices
+         */
+        public static Extent of(boolean complete, boolean allInformed) {
+            if (!complete) {
+                return CHANGES;
+            }
+            return allInformed ? RECENT : ALL;
+        }
+    }
+
+    /** Until this long after a use, peers that are silent are to be noticed soon. */
+    private static final Duration USE_TIME = Duration.ofSeconds(1);
+
     private final QuotaTolerance tolerance;
     private final RandomGenerator random;
     private final PeerPresence presence;
     private final Map<String, CustomerAccount> accounts = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
     private boolean configured;
+    private long usedNanos;
 
     private CustomerAccounts(QuotaTolerance tolerance, RandomGenerator random, long nowNanos) {
         this.tolerance = tolerance;
         this.random = random;
         this.presence = PeerPresence.empty(nowNanos);
+        this.usedNanos = nowNanos - USE_TIME.toNanos();
     }
 
     // -- construction
@@ -52,6 +81,26 @@
 
     // -- queries
 
+    /**
+     * Returns whether no customer has a limit.
+     *
+     * @return true if there is nothing to announce
+     */
+    public boolean isEmpty() {
+        return accounts.isEmpty();
+    }
+
+    /**
+     * Returns whether customers with a limit send requests, here or at a peer. Entries then send messages more often,
+     * so that a partition is noticed before its sides have used the limit twice.
+     *
+     * @param nowNanos the current time
+     * @return true until a second after the last use
+     */
+    public boolean isInUse(long nowNanos) {
+        return nowNanos - usedNanos < USE_TIME.toNanos();
+    }
+
     /**
      * Returns whether this entry has used something that its peers do not know yet.
      *
@@ -64,19 +113,25 @@
     /**
      * Returns what is announced to the peers.
      *
-     * @param complete whether the receivers may have missed earlier messages
+     * @param extent which customers are announced
      * @param nowNanos the current time
-     * @return the customers whose use changed since the last announcement; in a complete message also those that were
-     *     used recently or have not their whole burst left
+     * @return the use of the customers and what is left to them
      */
-    public List<CustomerUse> announce(boolean complete, long nowNanos) {
+    public List<CustomerUse> announce(Extent extent, long nowNanos) {
         return accounts.entrySet().stream()
-                .filter(entry -> entry.getValue().isChanged()
-                        || (complete && entry.getValue().isWorthTelling(REPETITION_TIME, nowNanos)))
+                .filter(entry -> isDue(entry.getValue(), extent, nowNanos))
                 .map(entry -> entry.getValue().announce(entry.getKey(), nowNanos))
                 .toList();
     }
 
+    private static boolean isDue(CustomerAccount account, Extent extent, long nowNanos) {
+        return switch (extent) {
+            case CHANGES -> account.isChanged();
+            case RECENT -> account.isChanged() || account.isWorthTelling(REPETITION_TIME, nowNanos);
+            case ALL -> true;
+        };
+    }
+
     /**
      * Returns whether a further attempt of an admitted request may be started after one that may have run. Such
      * attempts count twice, so they stop before they use up the tolerance.
@@ -161,6 +216,7 @@
         CustomerAccount account = accounts.get(customer);
         if (account != null) {
             account.use(cost, nowNanos);
+            usedNanos = nowNanos;
         }
     }
 
@@ -197,7 +253,7 @@
         told.forEach(use -> {
             CustomerAccount account = accounts.get(use.customer());
             if (account != null) {
-                account.applyGossip(peer, use, nowNanos);
+                usedNanos = account.applyGossip(peer, use, nowNanos) ? nowNanos : usedNanos;
             }
         });
     }
--- a/core/src/main/java/org/geraniumford/core/limits/PeerPresence.java
+++ b/core/src/main/java/org/geraniumford/core/limits/PeerPresence.java
@@ -11,7 +11,9 @@
  * {@link System#nanoTime}.
  */
 final class PeerPresence {
-    /** Peers send a message at least every 600 ms: a heartbeat of 450 ms, checked every 150 ms. */
+    /**
+     * Peers send a message at least every 300 ms while a limit is in use, and every 600 ms otherwise; one may be lost.
+     */
     static final Duration TIMEOUT = Duration.ofMillis(750);
 
     /** After a longer gap between two uses of this object, this process was paused and could not hear anybody. */
--- a/core/src/test/java/org/geraniumford/core/limits/QuotaHistory.java
+++ b/core/src/test/java/org/geraniumford/core/limits/QuotaHistory.java
@@ -266,12 +266,13 @@
     }
 
     private void announce(int entry, long nowNanos) {
-        boolean due = nowNanos - sentNanos[entry] >= 600_000_000 || accounts[entry].hasChanges();
+        long heartbeatNanos = accounts[entry].isInUse(nowNanos) ? 300_000_000 : 600_000_000;
+        boolean due = nowNanos - sentNanos[entry] >= heartbeatNanos || accounts[entry].hasChanges();
         if (!due) {
             return;
         }
         sentNanos[entry] = nowNanos;
-        List<CustomerUse> changes = accounts[entry].announce(false, nowNanos);
+        List<CustomerUse> changes = accounts[entry].announce(CustomerAccounts.Extent.CHANGES, nowNanos);
         for (int peer = 0; peer < entries; peer++) {
             if (peer != entry && upFromNanos[peer] <= nowNanos) {
                 boolean cut = faults == Faults.PARTITION
@@ -282,7 +283,9 @@
                     informed[entry][peer] = false;
                     continue;
                 }
-                List<CustomerUse> uses = informed[entry][peer] ? changes : accounts[entry].announce(true, nowNanos);
+                List<CustomerUse> uses = informed[entry][peer]
+                        ? changes
+                        : accounts[entry].announce(CustomerAccounts.Extent.ALL, nowNanos);
                 informed[entry][peer] = true;
                 long atNanos = nowNanos + random.nextLong(STEP / 2, 2 * STEP);
                 inbox.get(peer).add(new Sent(entry, incarnations[entry], atNanos, uses));
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -16,6 +16,7 @@
 import org.geraniumford.core.fleet.CacheGossip;
 import org.geraniumford.core.fleet.ServerGossip;
 import org.geraniumford.core.fleet.ServerLoad;
+import org.geraniumford.core.limits.CustomerAccounts.Extent;
 import org.geraniumford.core.limits.ServerLimitUse;
 import org.geraniumford.core.quarantine.SegmentQuarantine;
 import org.geraniumford.core.weights.LeaseSnapshot;
@@ -217,7 +218,8 @@
             links.forgetSilence(nowNanos);
         }
         lastTickNanos = nowNanos;
-        boolean due = nowNanos - announcedNanos >= HEARTBEAT_INTERVAL.toNanos() || hasChanges();
+        boolean inUse = state.customerLimits().accounts().isInUse(nowNanos);
+        boolean due = inUse || nowNanos - announcedNanos >= HEARTBEAT_INTERVAL.toNanos() || hasChanges();
         if (due && !announcedSinceTick) {
             announce();
         }
@@ -251,10 +253,12 @@
         }
         List<ServerLoad> loads = state.directory().localLoads();
         List<ServerLimitUse> limits = state.serverLimits().gossip();
+        boolean allInformed = links.toPeers().stream().allMatch(links::isInformed);
         GossipMessages messages = GossipMessages.of(
                 loads,
                 announcedLoads.changes(loads),
-                (complete, toldLoads, dueLease) -> gossip(complete, toldLoads, limits, dueLease));
+                (complete, toldLoads, dueLease) ->
+                        gossip(complete, toldLoads, limits, Extent.of(complete, allInformed), dueLease));
         LeaseSnapshot lease = rollout.leaseGossip();
         links.toPeers().forEach(link -> send(link, messages, lease, refresh));
         announcedLoads.record(loads);
@@ -276,7 +280,11 @@
     }
 
     private Message.Gossip gossip(
-            boolean complete, List<ServerLoad> loads, List<ServerLimitUse> limits, LeaseSnapshot lease) {
+            boolean complete,
+            List<ServerLoad> loads,
+            List<ServerLimitUse> limits,
+            Extent customers,
+            LeaseSnapshot lease) {
         return new Message.Gossip(
                 new ServerGossip(complete, loads, state.directory().leavingServers(), limits),
                 state.weightsGossip(),
@@ -285,7 +293,7 @@
                         state.cacheStores().savedSegments().unannounced(),
                         state.directory().unannouncedPrefills()),
                 quarantine.gossip(announcedNanos),
-                state.customerLimits().accounts().announce(complete, announcedNanos));
+                state.customerLimits().accounts().announce(customers, announcedNanos));
     }
 
     /** Logs what the peers cost, so that late or lost gossip can be told from other causes of a bad choice. */
@@ -327,6 +335,10 @@
         Message message = envelope.message();
         if (message instanceof Message.Hello hello) {
             links.named(link, hello.processId(), envelope.incarnation());
+            if (!state.customerLimits().accounts().isEmpty()) {
+                // An entry that has just started can use little of a limit before it knows what is left.
+                scheduleGossip();
+            }
         } else {
             links.peer(link).ifPresentOrElse(peer -> handleMessage(link, peer, envelope), link::close);
         }
