Give slow engines their share, with short prompts first

With measured speeds the plain expected delay sends an engine of a quarter of the speed 0.04 of the requests at three quarters of the load, and the fast ones have queues. A longer prefill at a slow engine now costs the fraction of the objective that it takes, and a running request costs the same at each engine. Nothing changes among engines of one speed. A speed counts at most five times the median of its service.

--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -17,12 +17,6 @@
  * in progress, and no advantage outweighs a long queue.
  */
 public final class ServerChooser {
-    /** The cost of each running request at an engine whose time per step is not known. */
-    private static final double RUNNING_REQUEST_COST_MS = 1.0;
-
-    /** The cost of each running request in steps of the engine: 1 ms at a step of 6 ms. */
-    private static final double RUNNING_REQUEST_COST_STEPS = 1.0 / 6;
-
     /**
      * How much the delay of other requests counts against that of the request itself. Each running request waits while
      * the engine prefills a new one. Engines with many running requests therefore get short prompts, and long prompts
@@ -216,9 +210,11 @@
 
     private Optional<ServerState> cheapest(Stream<ServerState> servers, ServerQuery query) {
         List<ServerState> candidates = servers.toList();
+        ReferenceSpeed reference = ReferenceSpeed.of(candidates);
         Optional<ServerState> preferred = rendezvousServer(candidates, query);
         return candidates.stream()
-                .map(state -> new ScoredServer(state, cost(state, query) + random.nextDouble() * MAX_TIE_BREAK_MS))
+                .map(state ->
+                        new ScoredServer(state, cost(state, query, reference) + random.nextDouble() * MAX_TIE_BREAK_MS))
                 .map(scored ->
                         scored.withGain(preferred.filter(scored.state()::equals).isPresent() ? RENDEZVOUS_GAIN_MS : 0))
                 .min(byPreference(query))
@@ -235,14 +231,14 @@
     }
 
     /** Returns the cost in milliseconds, without the rendezvous gain and the random cost that breaks ties. */
-    private static double cost(ServerState state, ServerQuery query) {
+    private static double cost(ServerState state, ServerQuery query, ReferenceSpeed reference) {
         boolean sameDomain = state.server().failureDomain().equals(query.failureDomain());
         double distanceCostMs =
                 sameDomain ? 0 : CROSS_DOMAIN_COST_MS + CROSS_DOMAIN_COST_MS_PER_BYTE * query.requestBytes();
         return distanceCostMs
                 + FAILURE_RATE_COST_MS * state.failureRate() * state.failureRate()
                 + query.prompt()
-                        .map(scoped -> engineCost(state, query, scoped))
+                        .map(scoped -> engineCost(state, query, scoped, reference))
                         .orElseGet(() -> plainServiceCost(state));
     }
 
@@ -264,7 +260,8 @@
                 : running + WAITING_REQUEST_COST_MS * waiting;
     }
 
-    private static double engineCost(ServerState state, ServerQuery query, ScopedPrompt scoped) {
+    private static double engineCost(
+            ServerState state, ServerQuery query, ScopedPrompt scoped, ReferenceSpeed reference) {
         ServerLoad load = state.totalLoad();
         PromptSpec prompt = scoped.prompt();
         long prefillTokens = state.estimatedPrefillTokens(scoped, query.fetchable());
@@ -272,22 +269,16 @@
                 - state.weightsVersion(prompt.model()).orElse(0);
         boolean isFull = load.running() >= state.server().slots()
                 || load.reservedTokens() + prompt.totalTokens() > USABLE_MEMORY_FRACTION * state.kvCapacityTokens();
-        double prefillMs = state.speed().prefillMillis(prefillTokens);
+        double prefillMs = reference.prefillCostMs(state.speed(), prefillTokens, query.targetLatency());
         return state.prefillWait(query.priority()).toMillis()
                 + prefillMs
                 + INTERFERENCE_WEIGHT * prefillMs * load.running()
-                + runningCostMs(state.speed()) * load.running()
+                + reference.runningCostMs() * load.running()
                 + (versionsBehind > 0 ? OLD_WEIGHTS_COST_MS : 0)
                 + OLD_WEIGHTS_COST_MS_PER_OUTPUT_TOKEN * versionsBehind * prompt.maxOutputTokens()
                 + (isFull ? PREEMPTION_COST_MS : 0);
     }
 
-    private static double runningCostMs(ServerSpeed speed) {
-        return speed.stepMs().isPresent()
-                ? RUNNING_REQUEST_COST_STEPS * speed.stepMs().getAsDouble()
-                : RUNNING_REQUEST_COST_MS;
-    }
-
     /**
      * Finds the server that prefills the request's first unsaved segment for all entries. Entries find the same server
      * if the same servers are available to them.
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerSpeed.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerSpeed.java
@@ -44,6 +44,13 @@
         return new ServerSpeed(prefillTokensPerMs, OptionalDouble.empty(), OptionalDouble.empty());
     }
 
+    // -- combinators
+
+    /** Returns this speed with at most the given number of prompt tokens per millisecond. */
+    ServerSpeed limitedTo(double maxPrefillTokensPerMs) {
+        return new ServerSpeed(Math.min(prefillTokensPerMs, maxPrefillTokensPerMs), stepMs, requestMs);
+    }
+
     // -- queries
 
     /**
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerSpeeds.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerSpeeds.java
@@ -16,6 +16,12 @@
     /** Bounds the gossip message. */
     private static final int MAX_ANNOUNCED_SERVERS = 256;
 
+    /**
+     * A speed counts at most as this many times the median of the service, so that a server whose responses are not
+     * what they seem cannot attract all load.
+     */
+    private static final double MAX_TIMES_MEDIAN = 5;
+
     private final ServerDirectory directory;
 
     private ServerSpeeds(ServerDirectory directory) {
@@ -100,22 +106,22 @@
                             .computeIfAbsent(state.server().service(), service -> new ArrayList<>())
                             .add(speed);
                 }));
-        directory
-                .all()
-                .forEach(state -> state.updateSpeed(Optional.ofNullable(known.get(state))
-                        .orElseGet(() -> median(
-                                knownByService.getOrDefault(state.server().service(), List.of())))));
+        Map<String, ServerSpeed> medians = new HashMap<>();
+        knownByService.forEach((service, all) -> medians.put(service, median(all)));
+        directory.all().forEach(state -> {
+            ServerSpeed median = medians.getOrDefault(state.server().service(), ServerSpeed.UNKNOWN);
+            ServerSpeed speed = known.getOrDefault(state, median);
+            state.updateSpeed(speed.limitedTo(MAX_TIMES_MEDIAN * median.prefillTokensPerMs()));
+        });
         return List.copyOf(known.keySet());
     }
 
     private static ServerSpeed median(List<ServerSpeed> speeds) {
-        return speeds.isEmpty()
-                ? ServerSpeed.UNKNOWN
-                : new ServerSpeed(
-                        median(speeds.stream().mapToDouble(ServerSpeed::prefillTokensPerMs))
-                                .orElseThrow(),
-                        median(known(speeds, ServerSpeed::stepMs)),
-                        median(known(speeds, ServerSpeed::requestMs)));
+        return new ServerSpeed(
+                median(speeds.stream().mapToDouble(ServerSpeed::prefillTokensPerMs))
+                        .orElseThrow(),
+                median(known(speeds, ServerSpeed::stepMs)),
+                median(known(speeds, ServerSpeed::requestMs)));
     }
 
     private static DoubleStream known(List<ServerSpeed> speeds, Function<ServerSpeed, OptionalDouble> component) {
--- a/core/src/test/java/org/geraniumford/core/fleet/SpeedEstimateTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/SpeedEstimateTest.java
@@ -133,6 +133,15 @@
         assertThat(prefillSpeed(restarted)).isCloseTo(40, within(4.5));
     }
 
+    /** Guards against an engine that attracts all load, because its prompts cost it less than assumed. */
+    @Test
+    void shouldCountAtMostFiveTimesTheMedianOfTheService() {
+        for (double speed : new double[] {30, 32, 400}) {
+            serve(list("engine-" + speed, 1), speed, 10);
+        }
+        assertThat(prefillSpeed(list("engine-400.0", 1))).isCloseTo(160, within(16.0));
+    }
+
     // -- gossip
 
     @Test
