Overload: entries alternate, plain requests that need not wait are sent, sums are kept

The first refused callers of all entries were told the same time; an entry now begins at its own position. A plain service whose mean time exceeds a caller's timeout would have refused everything and never learned that it is faster; a request that finds a free slot is always sent. One decision adds the loads of each server several times, so PeerLoads keeps the last sum.

With one of 16 customers at 7 times the load of each other and twice the load that an engine can run, 0.32 of its requests and 0.56 of the others' are admitted, instead of 0.49 of both (OverloadPolicyTest).

--- a/core/src/main/java/org/geraniumford/core/fleet/PeerLoads.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/PeerLoads.java
@@ -7,6 +7,10 @@
 final class PeerLoads {
     private final Map<String, ServerLoad> byPeer = new HashMap<>();
     private ServerLoad total;
+    /** The load that was added to the total last; null if that sum is not valid. */
+    private ServerLoad added;
+
+    private ServerLoad totalWithAdded;
 
     private PeerLoads(String server) {
         this.total = ServerLoad.idle(server);
@@ -25,8 +29,18 @@
 
     // -- queries
 
-    ServerLoad total() {
-        return total;
+    /**
+     * Returns the sum of all loads and another one. One decision asks for it several times, so the last sum is kept.
+     *
+     * @param load the other load; compared by reference, because comparing its lists would cost as much as adding them
+     */
+    @SuppressWarnings("ReferenceEquality")
+    ServerLoad totalWith(ServerLoad load) {
+        if (load != added) {
+            added = load;
+            totalWithAdded = total.plus(load);
+        }
+        return totalWithAdded;
     }
 
     boolean isEmpty() {
@@ -40,6 +54,7 @@
         if (load.running() != 0 || load.pendingPrefillTokens() != 0) {
             byPeer.put(peer, load);
             total = total.plus(load);
+            added = null;
         }
     }
 
@@ -47,6 +62,7 @@
         ServerLoad removed = byPeer.remove(peer);
         if (removed != null) {
             total = total.minus(removed);
+            added = null;
         }
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerRoom.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerRoom.java
@@ -66,7 +66,7 @@
         double usedSlots = load.running(priority) + Math.max(0, keptSlots - load.running(moreUrgent));
         return new ServerRoom(
                 millis(state.prefillWait(priority)),
-                fraction * STARTABLE_FRACTION * millis(query.timeLimit()),
+                fraction * STARTABLE_FRACTION * Math.max(0, millis(query.timeLimit())),
                 capacity == 0 ? Double.POSITIVE_INFINITY : fraction * USABLE_MEMORY_FRACTION * capacity - usedTokens,
                 Math.floor(fraction * state.server().slots() - usedSlots),
                 state.rejection().isFull(priority, nowNanos)
@@ -77,8 +77,9 @@
     }
 
     /**
-     * Determines the room of a plain service's server, which has no priorities: a request is useful if it can end
-     * within its time limit.
+     * Determines the room of a plain service's server, which has no priorities: a request that must wait for a slot is
+     * useful if it can end within its time limit. One that need not wait is always sent, because its own time may
+     * differ from the mean, and because a mean that is too high is corrected only by further responses.
      *
      * @param state the server
      * @param query the request's requirements
@@ -86,9 +87,11 @@
     static ServerRoom ofPlainServer(ServerState state, ServerQuery query) {
         ServerLoad load = state.totalLoad();
         int slots = state.server().slots();
+        double responseMs =
+                state.requestTime().millisToResponse(load.running(), slots).orElse(0);
         return new ServerRoom(
-                state.requestTime().millisToResponse(load.running(), slots).orElse(0),
-                millis(query.timeLimit()),
+                load.running() < slots ? 0 : responseMs,
+                Math.max(0, millis(query.timeLimit())),
                 Double.POSITIVE_INFINITY,
                 Double.POSITIVE_INFINITY,
                 0,
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -122,8 +122,10 @@
      *
      * @return the sum of the entry's own load and the loads that its peers announced
      */
+    @SuppressWarnings(
+            "ReferenceEquality") // Loads are immutable, and comparing their lists would cost as much as adding.
     public ServerLoad totalLoad() {
-        return localLoad.plus(peerLoads.total());
+        return peerLoads.totalWith(localLoad);
     }
 
     /**
--- a/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
@@ -1,8 +1,12 @@
 package org.geraniumford.core.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +14,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.geraniumford.core.limits.CustomerShares;
+import org.geraniumford.core.limits.RefusalTurns;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.EngineSpec;
 import org.junit.jupiter.api.Test;
@@ -170,6 +177,69 @@
         assertThat(admits(SHORT, false, NOW_NANOS)).isTrue();
     }
 
+    /**
+     * Load: of 16 customers one sends 7 times as much as each other, together twice what the engine can run; each
+     * request takes 6 rounds. Guards against usual customers that are refused as often as the large one, and against a
+     * large one that is starved. Without shares 0.49 of the requests of each are admitted, with them 0.32 of the large
+     * customer's and 0.56 of the others'.
+     */
+    @Test
+    void shouldRefuseTheCustomerFarAboveItsShareMoreOftenWithoutStarvingIt() {
+        double[] servedEqually = servedShares(false);
+        double[] servedFairly = servedShares(true);
+        assertThat(servedEqually[0]).isCloseTo(servedEqually[1], within(0.08));
+        assertThat(servedFairly[1]).isGreaterThan(servedEqually[1] + 0.05);
+        assertThat(servedFairly[0]).isLessThan(servedFairly[1]).isGreaterThan(totalShare(servedFairly) / 4);
+    }
+
+    private static double totalShare(double[] served) {
+        return (7 * served[0] + 15 * served[1]) / 22;
+    }
+
+    /** Returns which parts of the requests of the large customer and of the others are admitted in 200 rounds. */
+    private double[] servedShares(boolean fair) {
+        ServerState engine = register(1, 64).get(0);
+        RefusalTurns turns = RefusalTurns.empty();
+        Random random = new Random(7);
+        List<Map<String, Long>> startedByRound = new ArrayList<>();
+        Map<String, Long> running = new HashMap<>();
+        int[] offered = new int[2];
+        int[] served = new int[2];
+        for (int round = 0; round < 200; round++) {
+            long nowNanos = NOW_NANOS + Duration.ofMillis(100).toNanos() * round;
+            if (round >= 6) {
+                startedByRound.get(round - 6).forEach((customer, tokens) -> {
+                    running.merge(customer, -tokens, Long::sum);
+                    LongStream.range(0, tokens / 899).forEach(ended -> engine.recordEnded(899, 0));
+                });
+                running.values().removeIf(tokens -> tokens == 0);
+            }
+            Map<String, Long> started = new HashMap<>();
+            startedByRound.add(started);
+            List<Integer> senders = new ArrayList<>(IntStream.range(0, 22)
+                    .mapToObj(sender -> Math.max(0, sender - 6))
+                    .toList());
+            Collections.shuffle(senders, random);
+            for (int sender : senders) {
+                String customer = "customer-" + sender;
+                boolean yields = fair
+                        && turns.isOtherWaiting(customer, 0, nowNanos)
+                        && CustomerShares.isFarAbove(running, customer);
+                offered[Math.min(sender, 1)]++;
+                if (admits(SHORT, yields, nowNanos)) {
+                    engine.recordAttemptStart(899, 0, 0);
+                    running.merge(customer, 899L, Long::sum);
+                    started.merge(customer, 899L, Long::sum);
+                    served[Math.min(sender, 1)]++;
+                } else {
+                    turns.recordRefused(customer, 0, Duration.ZERO, 10, SHORT.timeLimit(), nowNanos);
+                }
+            }
+        }
+        directory.deregister("server-0", NOW_NANOS);
+        return new double[] {(double) served[0] / offered[0], (double) served[1] / offered[1]};
+    }
+
     /**
      * Load: 9 engines load weights, one leaves, the others are full. Guards against a refusal whose log shows the load
      * of idle engines that could not take the request.
@@ -239,6 +309,20 @@
         assertThat(refusal(PLAIN).untilRoom()).isEqualTo(Duration.ofMillis(18 * 86 - 1525));
     }
 
+    /**
+     * Load: one request of 100 ms after responses of 5 s. Guards against a service that refuses everything, and so
+     * never learns that its servers are faster.
+     */
+    @Test
+    void shouldAdmitAPlainRequestThatNeedNotWaitWhateverTheMeanTime() {
+        ServerState server = register(1, 6).get(0);
+        server.recordResponse(Duration.ofSeconds(5), 1);
+        server.updatePeerLoad("peer", ServerLoad.of("any", 0, 5, 0, 0));
+        assertThat(admits(query(Optional.empty(), 100, 0))).isTrue();
+        server.updatePeerLoad("peer", ServerLoad.of("any", 0, 6, 0, 0));
+        assertThat(admits(query(Optional.empty(), 100, 0))).isFalse();
+    }
+
     /** Load: a burst at one server, then one stalled response. Guards against waiting that counts as work. */
     @Test
     void shouldLearnTheTimeOfARequestWithoutItsWaiting() {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/OverloadControl.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/OverloadControl.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.geraniumford.core.fleet.OverloadDecision;
 import org.geraniumford.core.fleet.OverloadInputs;
@@ -89,13 +90,16 @@
                 : recordRefused(admitted, query, UNTIL_SERVER, ASSUMED_PLACES_PER_SECOND, nowNanos);
     }
 
+    /** Records a refusal. The places of the entries alternate, so that their first callers don't return together. */
     private Duration recordRefused(
             AdmittedRequest admitted, ServerQuery query, Duration untilRoom, double placesPerSecond, long nowNanos) {
+        double position = gateway.state().directory().entryShare().position();
+        Duration untilOwnPlace = untilRoom.plusNanos((long) (position / placesPerSecond * TimeUnit.SECONDS.toNanos(1)));
         return turns(admitted)
                 .recordRefused(
                         customerName(admitted),
                         admitted.priority(),
-                        untilRoom,
+                        untilOwnPlace,
                         placesPerSecond,
                         query.timeLimit(),
                         nowNanos);
