--- a/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerState.java
@@ -24,11 +24,6 @@
     private long kvCapacityTokens;
     private ServerLoad localLoad;
     private final PeerLoads peerLoads;
-    /** The last result of {@link #totalLoad} and what it was added up from; each decision asks for it several times. */
-    private ServerLoad sum;
-
-    private ServerLoad summedLocal;
-    private ServerLoad summedPeers;
     private final Reachability reachability = Reachability.unknown();
     private final ServerLimit limit = ServerLimit.none(ThreadLocalRandom.current());
     private final SpeedEstimate speedEstimate = SpeedEstimate.empty();
@@ -128,15 +123,8 @@
      *
      * @return the sum of the entry's own load and the loads that its peers announced
      */
-    @SuppressWarnings("ReferenceEquality") // Equal loads at different addresses only cost another addition.
     public ServerLoad totalLoad() {
-        ServerLoad peers = peerLoads.total();
-        if (summedLocal != localLoad || summedPeers != peers) {
-            summedLocal = localLoad;
-            summedPeers = peers;
-            sum = localLoad.plus(peers);
-        }
-        return sum;
+        return peerLoads.totalWith(localLoad);
     }
 
     /**
--- a/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
@@ -129,6 +129,7 @@
                 0,
                 OptionalLong.empty(),
                 Duration.ofMillis(kind.objectiveMs()),
+                Duration.ofSeconds(15),
                 false,
                 Set.of(),
                 kind.priority(),
@@ -161,7 +162,9 @@
             estimate.recordPrefill(
                     next.before(), next.prefillTokens(), Math.round(firstMs * NANOS_PER_MILLI), nowNanos());
             at(nowMs + stepMs * kind.outputTokens(), () -> {
-                next.state().recordEnded(kind.sharedTokens() + kind.uncachedTokens() + kind.outputTokens());
+                next.state()
+                        .recordEnded(
+                                kind.sharedTokens() + kind.uncachedTokens() + kind.outputTokens(), kind.priority());
                 estimate.recordStep(stepMs, nowNanos());
             });
             prefillNext(engine);
