Totals of a customer's use go on when its limit returns

A limit that ends and returns began at zero, which a peer that had missed the version between took for a refund. An entry that never hears all others counts on its own balance after a window, and a silent attempt is not abandoned while the customer's account does not allow another one.

--- a/core/src/main/java/org/geraniumford/core/limits/CustomerAccount.java
+++ b/core/src/main/java/org/geraniumford/core/limits/CustomerAccount.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -57,6 +58,9 @@
     private double toleranceUnits;
     private double windowUnits;
 
+    /** After this time what was used before this entry started does not count. */
+    private long windowNanos;
+
     /** Whether the balance contains what other entries used before this one started. */
     private boolean settled;
 
@@ -74,19 +78,27 @@
     private long halvedNanos;
     private long nextPlaceNanos;
 
+    /**
+     * Opens an account.
+     *
+     * @param usedBefore what this entry has used while the customer had a limit before; empty if the entry has just
+     *     started, and others may have used what it does not know of
+     */
     CustomerAccount(
             CustomerQuota quota,
             QuotaTolerance tolerance,
             PeerPresence presence,
             RandomGenerator random,
-            boolean full,
+            OptionalLong usedBefore,
             long nowNanos) {
         this.presence = presence;
         this.random = random;
         this.turns = PriorityTurns.empty(nowNanos);
         configure(quota, tolerance);
-        this.balance = new RateBucket(full ? capacity() : 0, micros(nowNanos));
-        this.settled = full;
+        this.balance = new RateBucket(usedBefore.isPresent() ? capacity() : 0, micros(nowNanos));
+        this.settled = usedBefore.isPresent();
+        this.used = usedBefore.orElse(0);
+        this.announcedUsed = used;
         this.createdNanos = nowNanos;
         this.changedNanos = nowNanos;
         this.refilledNanos = nowNanos;
@@ -101,6 +113,10 @@
         return quota;
     }
 
+    long used() {
+        return used;
+    }
+
     boolean isChanged() {
         return used != announcedUsed;
     }
@@ -141,6 +157,7 @@
         boolean raises = quota != null;
         quota = newQuota;
         toleranceUnits = tolerance.units(newQuota);
+        windowNanos = tolerance.window().toNanos();
         windowUnits = newQuota.rate() * tolerance.windowSeconds();
         if (raises && capacity() > before) {
             balance.consume(before - capacity());
@@ -247,9 +264,8 @@
         balance.refill(quota.rate() * fraction, capacity() * fraction, micros(nowNanos));
         // What was used longer than a window ago does not count, whatever the balance.
         balance.raiseTo(-windowUnits);
-        if (!settled && fraction >= 1 && nowNanos - createdNanos >= SETTLING_TIME.toNanos()) {
-            settled = true;
-        }
+        long ageNanos = nowNanos - createdNanos;
+        settled = settled || ageNanos >= windowNanos || (fraction >= 1 && ageNanos >= SETTLING_TIME.toNanos());
         if (nowNanos - halvedNanos > HALF_LIFE.toNanos()) {
             halvedNanos = nowNanos;
             recentOwnUse /= 2;
--- a/core/src/main/java/org/geraniumford/core/limits/CustomerAccounts.java
+++ b/core/src/main/java/org/geraniumford/core/limits/CustomerAccounts.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.geraniumford.core.service.ApiCustomer;
 
@@ -54,6 +55,9 @@
     private final PeerPresence presence;
     private final Map<String, CustomerAccount> accounts = new HashMap<>();
     private final Map<String, Long> incarnations = new HashMap<>();
+    /** What was used of limits that ended, so that the announced totals go on if they return. */
+    private final Map<String, Long> closedUses = new HashMap<>();
+
     private boolean configured;
     private long usedNanos;
 
@@ -167,12 +171,14 @@
     public void applyConfiguration(Collection<ApiCustomer> customers, long nowNanos) {
         Map<String, CustomerQuota> quotas = new HashMap<>();
         customers.forEach(customer -> customer.quota().ifPresent(quota -> quotas.put(customer.name(), quota)));
+        accounts.forEach((name, account) -> closedUses.put(name, account.used()));
         accounts.keySet().retainAll(quotas.keySet());
         quotas.forEach((name, quota) -> {
             CustomerAccount account = accounts.get(name);
             if (account == null) {
-                // At the start, what was used before a restart is not known, so there is no burst yet.
-                accounts.put(name, new CustomerAccount(quota, tolerance, presence, random, configured, nowNanos));
+                OptionalLong usedBefore =
+                        configured ? OptionalLong.of(closedUses.getOrDefault(name, 0L)) : OptionalLong.empty();
+                accounts.put(name, new CustomerAccount(quota, tolerance, presence, random, usedBefore, nowNanos));
             } else if (!account.quota().equals(quota)) {
                 account.configure(quota, tolerance);
             }
--- a/core/src/test/java/org/geraniumford/core/limits/CustomerAccountsTest.java
+++ b/core/src/test/java/org/geraniumford/core/limits/CustomerAccountsTest.java
@@ -133,6 +133,19 @@
         assertThat(useAll(accounts, 4 * SECOND)).isGreaterThan(0.8 * RATE);
     }
 
+    /** Guards against totals that begin at zero again, which peers that kept the limit would take for a refund. */
+    @Test
+    void shouldGoOnCountingWhenALimitReturns() {
+        CustomerAccounts accounts = started(1, 0);
+        accounts.use("c", 700, 0);
+        accounts.applyConfiguration(List.of(), SECOND);
+        accounts.applyConfiguration(List.of(customer(RATE)), 2 * SECOND);
+        assertThat(accounts.announce(CustomerAccounts.Extent.ALL, 2 * SECOND))
+                .singleElement()
+                .extracting(CustomerUse::used)
+                .isEqualTo(700L);
+    }
+
     @Test
     void shouldAnnounceNothingWhenNoCustomerHasALimit() {
         CustomerAccounts accounts = CustomerAccounts.empty(TOLERANCE, new SplittableRandom(1), 0);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -124,7 +124,10 @@
     /** Abandons the attempt at a silent server if the request may run elsewhere and the budget allows a retry. */
     void abandonIfSilent(long nowNanos) {
         boolean silent = attempt != null && attempt.isSilent(nowNanos);
-        if (silent && machine.canAbandonAttempt() && gateway.canRetry(admitted.service())) {
+        if (silent
+                && machine.canAbandonAttempt()
+                && gateway.canRetry(admitted.service())
+                && charge.allowsRetry(Verdict.MAY_HAVE_RUN)) {
             attempt.abandon(nowNanos);
         }
     }
