--- a/core/src/main/java/org/geraniumford/core/fleet/ReferenceSpeed.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ReferenceSpeed.java
@@ -18,11 +18,11 @@
     private static final double RUNNING_REQUEST_COST_MS = 1.0;
 
     /**
-     * The cost of each running request in steps of the fastest engine: 1 ms at a step of 6 ms. Each engine's own step
+     * The cost of each running request in steps of the fastest engine: 1 ms at a step of 5 ms. Each engine's own step
      * counts a slow engine's requests twice, because they also run longer there: it then gets 0.15 of the requests
      * where 0.20 match its speed.
      */
-    private static final double RUNNING_REQUEST_COST_STEPS = 1.0 / 6;
+    private static final double RUNNING_REQUEST_COST_STEPS = 1.0 / 5;
 
     // -- construction
 
@@ -42,13 +42,13 @@
 
     /**
      * Returns the cost of a prefill at an engine: its time at the fastest engine, and as much of the additional time as
-     * the whole prefill takes of the latency objective.
+     * it takes of the latency objective.
      */
     double prefillCostMs(ServerSpeed speed, long tokens, Duration targetLatency) {
         double actualMs = speed.prefillMillis(tokens);
         double fastestMs = Math.max(0, tokens) / prefillTokensPerMs;
-        double usedFraction = actualMs / Math.max(1, targetLatency.toMillis());
-        return fastestMs + (actualMs - fastestMs) * Math.min(1, usedFraction);
+        double additionalMs = actualMs - fastestMs;
+        return fastestMs + additionalMs * Math.min(1, additionalMs / Math.max(1, targetLatency.toMillis()));
     }
 
     /** Returns the cost of one running request in milliseconds. */
--- a/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
@@ -15,11 +15,12 @@
 import org.geraniumford.core.service.EngineSpec;
 
 /**
- * Arrivals at engines that prefill one prompt after the other, more urgent ones first, while each running response gets
- * a token per step. Servers are chosen by {@link ServerChooser} and measured as in an entry.
+ * Arrivals at engines that prefill prompts in chunks, more urgent ones first, while each running response gets a token
+ * per step. Servers are chosen by {@link ServerChooser} and measured as in an entry.
  */
 final class EngineQueues {
     private static final double NANOS_PER_MILLI = 1e6;
+    private static final long CHUNK_TOKENS = 1024;
     private static final double REFRESH_MS = 250;
     private static final double STEP_MS_AT_40_TOKENS_PER_MS = 5;
 
@@ -33,7 +34,11 @@
         }
     }
 
-    private record Running(double sentMs, Kind kind, ServerState state, long prefillTokens, long before) {}
+    private record Running(double sentMs, Kind kind, ServerState state, long prefillTokens, long before, long left) {
+        Running withoutChunk() {
+            return new Running(sentMs, kind, state, prefillTokens, before, Math.max(0, left - CHUNK_TOKENS));
+        }
+    }
 
     private record Event(double atMs, Runnable action) {}
 
@@ -140,7 +145,7 @@
         long before = state.totalLoad().pendingPrefillTokens(kind.priority());
         state.recordAttemptStart(prompt.totalTokens(), prefillTokens, kind.priority());
         Engine engine = engines.get(state.server().id());
-        engine.waiting.add(new Running(nowMs, kind, state, prefillTokens, before));
+        engine.waiting.add(new Running(nowMs, kind, state, prefillTokens, before, prefillTokens));
         prefillNext(engine);
     }
 
@@ -150,21 +155,29 @@
         }
         engine.busy = true;
         Running next = engine.waiting.remove();
-        double stepMs = STEP_MS_AT_40_TOKENS_PER_MS * 40 / engine.tokensPerMs;
-        at(nowMs + next.prefillTokens() / engine.tokensPerMs, () -> {
+        at(nowMs + Math.min(CHUNK_TOKENS, next.left()) / engine.tokensPerMs, () -> {
             engine.busy = false;
-            Kind kind = next.kind();
-            double firstMs = nowMs - next.sentMs() + stepMs;
-            served.add(new Served(next.sentMs(), kind, next.state().server().id(), firstMs));
-            next.state().recordPrefilled(next.prefillTokens(), kind.priority());
-            SpeedEstimate estimate = next.state().speedEstimate();
-            estimate.recordPrefill(
-                    next.before(), next.prefillTokens(), Math.round(firstMs * NANOS_PER_MILLI), nowNanos());
-            at(nowMs + stepMs * kind.outputTokens(), () -> {
-                next.state().recordEnded(kind.sharedTokens() + kind.uncachedTokens() + kind.outputTokens());
-                estimate.recordStep(stepMs, nowNanos());
-            });
+            Running rest = next.withoutChunk();
+            if (rest.left() > 0) {
+                engine.waiting.add(rest);
+            } else {
+                begin(next, STEP_MS_AT_40_TOKENS_PER_MS * 40 / engine.tokensPerMs);
+            }
             prefillNext(engine);
         });
     }
+
+    private void begin(Running running, double stepMs) {
+        Kind kind = running.kind();
+        ServerState state = running.state();
+        double firstMs = nowMs - running.sentMs() + stepMs;
+        served.add(new Served(running.sentMs(), kind, state.server().id(), firstMs));
+        state.recordPrefilled(running.prefillTokens(), kind.priority());
+        long nanos = Math.round(firstMs * NANOS_PER_MILLI);
+        state.speedEstimate().recordPrefill(running.before(), running.prefillTokens(), nanos, nowNanos());
+        at(nowMs + stepMs * kind.outputTokens(), () -> {
+            state.recordEnded(kind.sharedTokens() + kind.uncachedTokens() + kind.outputTokens());
+            state.speedEstimate().recordStep(stepMs, nowNanos());
+        });
+    }
 }
