--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -63,6 +63,7 @@
     private final SegmentQuarantine quarantine;
     private final ConfigurationExchange configurations;
     private final RolloutController rollout;
+    private final GossipReceiver receiver;
     private final EventLoop loop;
     private final LinkNetwork network;
     private final InetSocketAddress ownAddress;
@@ -102,6 +103,7 @@
             InetSocketAddress ownAddress) {
         this.quarantine = quarantine;
         this.rollout = rollout;
+        this.receiver = new GossipReceiver(state, quarantine, rollout);
         this.state = state;
         this.configurations = new ConfigurationExchange(configuration);
         this.ownAddress = ownAddress;
@@ -362,46 +364,11 @@
         configurations.versionHeard(link, envelope.configurationVersion());
     }
 
-    /** Applies a message. A part that cannot be applied costs neither the other parts nor the link. */
     private void applyGossip(String peer, long incarnation, Message.Gossip gossip) {
         if (lastSeenNanos.put(peer, System.nanoTime()) == null) {
             LogEvent.of("peer_heard").with("peer", peer).info();
         }
-        long nowNanos = System.nanoTime();
-        Guarded.run(
-                "gossip of loads",
-                () -> state.directory()
-                        .applyGossip(
-                                peer,
-                                gossip.servers().complete(),
-                                gossip.servers().loads()));
-        Guarded.run("gossip of leaving", () -> gossip.servers().leaving().forEach(state.directory()::markLeaving));
-        Guarded.run("gossip of lease", () -> rollout.applyLeaseSnapshot(gossip.lease()));
-        Guarded.run(
-                "gossip of weights",
-                () -> gossip.weights().forEach(weights -> state.recordPublishedWeights(weights, peer)));
-        Guarded.run(
-                "gossip of saved",
-                () -> state.cacheStores()
-                        .savedSegments()
-                        .applyGossip(gossip.cache().savedKeys(), nowNanos));
-        Guarded.run(
-                "gossip of prefilled",
-                () -> state.directory().applyGossip(gossip.cache().prefilled()));
-        Guarded.run("gossip of quarantine", () -> quarantine.applyGossip(peer, gossip.quarantine(), nowNanos));
-        Guarded.run(
-                "gossip of customers", () -> state.customerLimits().applyGossip(peer, incarnation, gossip.customers()));
-        Guarded.run(
-                "gossip of limits",
-                () -> state.serverLimits().applyGossip(peer, gossip.servers().limits()));
-        Guarded.run(
-                "gossip of speeds",
-                () -> state.serverSpeeds()
-                        .applyGossip(
-                                peer,
-                                gossip.servers().complete(),
-                                gossip.servers().speeds(),
-                                nowNanos));
+        receiver.apply(peer, incarnation, gossip);
     }
 
     @Override
