--- a/core/src/test/java/org/geraniumford/core/limits/CustomerAccountsHistoryTest.java
+++ b/core/src/test/java/org/geraniumford/core/limits/CustomerAccountsHistoryTest.java
@@ -14,7 +14,7 @@
     /**
      * Few enough for about 10 s on a busy machine; -Dquota.histories=10000 runs as many as the specification asks for.
      */
-    private static final int HISTORIES = Integer.getInteger("quota.histories", 2000);
+    private static final int HISTORIES = Integer.getInteger("quota.histories", 5000);
 
     private static final List<QuotaHistory.Faults> FAULTS = List.of(QuotaHistory.Faults.values());
     private static final List<QuotaHistory.Demand> DEMANDS = List.of(QuotaHistory.Demand.values());
