One account of what an entry keeps for its callers, with bounds

Cause: bodies, requests behind each other, responses that are not read, trailers and connections were bounded for each caller at most, never for all together, so that a few callers ended the process or hung it.

Change: CallerMemory accounts for undecoded bytes, heads, trailers, bodies and unsent responses, up to a quarter of the heap; it stops reading, refuses long bodies (503, Retry-After) and closes the largest half-sent or unread connection. A connection decodes its next request only when the one before has its response and at most 16 KB are unsent. Trailers are bounded to the header limit and 256 lines. Connections are bounded by limits.max_fds. Readiness and metrics have small bounds of their own.

--- a/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsPage.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/settings/SettingsPage.java
@@ -18,6 +18,25 @@
             This page is printed by `geraniumford settings`; a test compares the two.
             """;
 
+    /** The limits of the platform's entry, whose settings file the platform writes. */
+    private static final String PLATFORM_LIMITS = """
+            ## On the users' platform: limits for all callers together
+
+            | key or size | unit | default | meaning |
+            |---|---|---|---|
+            | `limits.max_fds` | descriptors | no limit | How many descriptors the process may have open. \
+            Callers get three quarters of them, minus those open at the start. |
+            | the heap (`-Xmx`) | bytes | set by the platform | A quarter of it is for what is kept for callers: \
+            undecoded bytes, heads, bodies, unsent responses. Above half of that, large bodies are not read \
+            except the largest; above three quarters, requests with bodies of more than 64 KB are refused with \
+            503; above all of it, the largest half-sent, unread or pipelining connection is closed. |
+            | trailers of a request | bytes, lines | `max_header_bytes`, 256 | More are refused with 431. |
+            | unsent responses of a connection | bytes | 16384 | The next pipelined request waits until fewer \
+            are unsent. |
+            | readiness and metrics | bytes, connections | 1024 a body, 2 MB, 32 | The maximum of one body, of \
+            what is kept for all connections, and of the connections of each of these listeners. |
+            """;
+
     private SettingsPage() {}
 
     /**
@@ -26,7 +45,8 @@
      * @return the text of docs/SETTINGS.md
      */
     public static String render() {
-        return Stream.concat(Stream.of(HEAD), SCHEMAS.stream().map(SettingsPage::table))
+        return Stream.of(Stream.of(HEAD), SCHEMAS.stream().map(SettingsPage::table), Stream.of(PLATFORM_LIMITS))
+                .flatMap(part -> part)
                 .collect(Collectors.joining("\n"));
     }
 
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerExchange.java
@@ -15,16 +15,24 @@
     private final CallerResponse response;
     private final FullHttpRequest request;
     private final long headReadNanos;
+    private long requestBytes;
     private final CallerConnection connection;
     private boolean closeAfter;
     private boolean done;
     private Runnable disconnectListener = () -> {};
     private Runnable writableListener = () -> {};
 
-    CallerExchange(CallerResponse response, FullHttpRequest request, long headReadNanos, CallerConnection connection) {
+    /** Creates an exchange whose request takes {@code requestBytes} of memory until it is released. */
+    CallerExchange(
+            CallerResponse response,
+            FullHttpRequest request,
+            long requestBytes,
+            long headReadNanos,
+            CallerConnection connection) {
         this.channel = response.channel();
         this.response = response;
         this.request = request;
+        this.requestBytes = requestBytes;
         this.headReadNanos = headReadNanos;
         this.connection = connection;
         this.closeAfter = !HttpUtil.isKeepAlive(request);
@@ -155,6 +163,9 @@
         if (request.refCnt() > 0) {
             request.release();
         }
+        long bytes = requestBytes;
+        requestBytes = 0;
+        connection.account().release(bytes);
     }
 
     private void updateCloseAfter() {
--- a/transport/src/main/java/org/geraniumford/transport/forward/CallerServer.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/CallerServer.java
@@ -13,17 +13,18 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.IntConsumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.geraniumford.core.service.CallerLimits;
 
 /** The HTTP/1.1 server for callers. All its connections run on one network thread. */
@@ -31,17 +32,25 @@
     private static final int BACKLOG_CONNECTIONS = 1024;
 
     /** The number of reads of one connection in a round of I/O. */
-    private static final int MAX_READS_PER_ROUND = 16;
+    private static final int MAX_READS_PER_ROUND = 32;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2048;
+
+    /** The bytes of one read, all of which may have to be kept undecoded. */
+    private static final int MAX_READ_BYTES = 32 * 1024;
 
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private final CallerBounds bounds;
     private final IntConsumer refusalListener;
     private final Executor executor;
     private Channel channel;
     private boolean closing;
 
-    private CallerServer(IntConsumer refusalListener, Executor executor) {
+    private CallerServer(CallerBounds bounds, IntConsumer refusalListener, Executor executor) {
+        this.bounds = bounds;
         this.refusalListener = refusalListener;
         this.executor = executor;
     }
@@ -68,11 +77,34 @@
     }
 
     /**
-     * Starts a server whose requests are handled by an executor.
+     * Starts a server whose requests are handled by an executor, and whose number of connections is not bounded.
+     *
+     * @param group the event loop group, which must have exactly one network thread
+     * @param address the address to listen on; port 0 selects a free port
+     * @param limits supplies the current limits for callers
+     * @param handler handles the requests
+     * @param refusalListener receives the HTTP status of each response to a request that is malformed or too large
+     * @param executor calls the handler, on the network thread
+     * @return the listening server, or the failure to bind
+     */
+    public static CompletableFuture<CallerServer> start(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            Supplier<CallerLimits> limits,
+            CallerHandler handler,
+            IntConsumer refusalListener,
+            Executor executor) {
+        CallerBounds bounds = new CallerBounds(CallerMemory.ofHeap(), Integer.MAX_VALUE);
+        return start(group, address, limits, bounds, handler, refusalListener, executor);
+    }
+
+    /**
+     * Starts a server whose requests are handled by an executor, with bounds on what is kept for all callers.
      *
      * @param group the event loop group, which must have exactly one network thread
      * @param address the address to listen on; port 0 selects a free port
      * @param limits supplies the current limits for callers
+     * @param bounds what is kept for all callers together
      * @param handler handles the requests
      * @param refusalListener receives the HTTP status of each response to a request that is malformed or too large
      * @param executor calls the handler, on the network thread
@@ -82,12 +114,14 @@
             EventLoopGroup group,
             InetSocketAddress address,
             Supplier<CallerLimits> limits,
+            CallerBounds bounds,
             CallerHandler handler,
             IntConsumer refusalListener,
             Executor executor) {
         requireNonNull(limits, "limits is null");
         requireNonNull(handler, "handler is null");
         CallerServer server = new CallerServer(
+                requireNonNull(bounds, "bounds is null"),
                 requireNonNull(refusalListener, "refusalListener is null"),
                 requireNonNull(executor, "executor is null"));
         ChannelFuture binding = new ServerBootstrap()
@@ -120,21 +154,43 @@
 
     /** Reads until nothing is left, so that the end of a connection is seen together with the request before it. */
     private static RecvByteBufAllocator readingToTheEnd() {
-        return new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_ROUND);
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAX_READS_PER_ROUND);
     }
 
     private void accept(SocketChannel accepted, Supplier<CallerLimits> limits, CallerHandler handler) {
+        if (connections.size() >= bounds.maxConnections() && !closeOldest()) {
+            memory().count(CallerClosure.NO_ROOM, 0);
+            accepted.close();
+            return;
+        }
         CallerConnection connection = new CallerConnection(limits, handler, this);
         connections.add(connection);
-        HttpDecoderConfig decoding = new HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.get().maxHeaderBytes())
-                .setMaxHeaderSize(limits.get().maxHeaderBytes());
         accepted.pipeline()
-                .addLast(new HttpRequestDecoder(decoding))
+                .addLast(connection.decoder())
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
     }
 
+    /** Closes the oldest connection of the first kind that there is. Returns whether there was any. */
+    private boolean closeOldest() {
+        Stream<Predicate<CallerConnection>> kinds = Stream.of(
+                CallerConnection::isUnread,
+                CallerConnection::isExpendable,
+                CallerConnection::isIdle,
+                CallerConnection::isReadAhead);
+        Optional<CallerConnection> oldest = kinds.flatMap(
+                        kind -> connections.stream().filter(kind).limit(1))
+                .findFirst();
+        oldest.ifPresent(connection -> {
+            memory().count(CallerClosure.ROOM_NEEDED, connection.heldBytes());
+            connections.remove(connection);
+            connection.giveUp();
+        });
+        return oldest.isPresent();
+    }
+
     // -- queries
 
     /**
@@ -155,6 +211,10 @@
         return connections.size();
     }
 
+    CallerMemory memory() {
+        return bounds.memory();
+    }
+
     boolean isClosing() {
         return closing;
     }
