--- a/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/retry/RetryPolicyTest.java
@@ -36,6 +36,7 @@
             Reason.REQUEST_RATE_LIMITED,
             Reason.TOKEN_RATE_LIMITED,
             Reason.STREAMS_LIMITED,
+            Reason.CUSTOMER_LIMIT_REACHED,
             Reason.DEADLINE_PASSED,
             Reason.NO_CONFIGURATION,
             Reason.STORE_UNAVAILABLE,
