Gossip of speeds and limits costs less; plain servers of about the same speed share requests

Changes of speeds are looked for once a second, not in each message, and loads are added up without streams.

--- a/core/src/main/java/org/geraniumford/core/fleet/RecentUse.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/RecentUse.java
@@ -60,20 +60,21 @@
      * @param nowNanos the current time
      */
     public void record(List<ServerLoad> loads, long nowNanos) {
-        double fading = Math.pow(0.5, (double) Math.max(0, nowNanos - updatedNanos) / HALF_LIFE.toNanos());
+        long elapsedNanos = nowNanos - updatedNanos;
+        if (loads.isEmpty()) {
+            return;
+        }
+        double fading = Math.pow(0.5, (double) Math.max(0, elapsedNanos) / HALF_LIFE.toNanos());
         updatedNanos = nowNanos;
         for (int level = 0; level < tokens.length; level++) {
-            int priority = level;
-            double meanTokens = loads.stream()
-                    .mapToLong(load -> load.reservedTokens(priority))
-                    .average()
-                    .orElse(0);
-            double meanSlots = loads.stream()
-                    .mapToInt(load -> load.running(priority))
-                    .average()
-                    .orElse(0);
-            tokens[level] = Math.max(meanTokens, fading * tokens[level]);
-            slots[level] = Math.max(meanSlots, fading * slots[level]);
+            long sumTokens = 0;
+            long sumSlots = 0;
+            for (ServerLoad load : loads) {
+                sumTokens += load.reservedTokens(level);
+                sumSlots += load.running(level);
+            }
+            tokens[level] = Math.max((double) sumTokens / loads.size(), fading * tokens[level]);
+            slots[level] = Math.max((double) sumSlots / loads.size(), fading * slots[level]);
         }
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerChooser.java
@@ -253,25 +253,21 @@
                 + FAILURE_RATE_COST_MS * state.failureRate() * state.failureRate()
                 + query.prompt()
                         .map(scoped -> engineCost(state, query, scoped, reference))
-                        .orElseGet(() -> plainServiceCost(state));
+                        .orElseGet(() -> plainServiceCost(state, reference));
     }
 
     /**
-     * Returns 1 ms for each running request, and the wait of each request above the number of slots. If the server's
-     * time per request is known, it is added, and each request that waits costs one turn of a slot.
+     * Returns 1 ms for each running request, what the server is slower than others, and the wait of the requests above
+     * the number of slots: a turn of a slot for each if the server's time per request is known.
      */
-    private static double plainServiceCost(ServerState state) {
+    private static double plainServiceCost(ServerState state, ReferenceSpeed reference) {
         int running = state.totalLoad().running();
+        int slots = Math.max(1, state.server().slots());
         // The request itself counts as well.
         int waiting = Math.max(0, running + 1 - state.server().slots());
         OptionalDouble requestMs = state.speed().requestMs();
-        return requestMs.isPresent()
-                ? running
-                        + requestMs.getAsDouble()
-                                * (1
-                                        + (double) waiting
-                                                / Math.max(1, state.server().slots()))
-                : running + WAITING_REQUEST_COST_MS * waiting;
+        double waitMs = requestMs.isPresent() ? requestMs.getAsDouble() / slots : WAITING_REQUEST_COST_MS;
+        return running + reference.requestCostMs(state.speed()) + waitMs * waiting;
     }
 
     private static double engineCost(
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerLoad.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerLoad.java
@@ -183,9 +183,12 @@
         if (second.isEmpty()) {
             return first;
         }
-        return IntStream.range(0, Math.max(first.size(), second.size()))
-                .mapToObj(level -> at(first, level) + sign * at(second, level))
-                .toList();
+        // Entries add up every load that a peer announces, some thousand a second; streams cost several times as much.
+        Long[] sums = new Long[Math.max(first.size(), second.size())];
+        for (int level = 0; level < sums.length; level++) {
+            sums[level] = at(first, level) + sign * at(second, level);
+        }
+        return List.of(sums);
     }
 
     private static long at(List<Long> numbers, int level) {
@@ -205,6 +208,6 @@
         while (size > 0 && numbers.get(size - 1) == 0) {
             size--;
         }
-        return List.copyOf(numbers.subList(0, size));
+        return List.copyOf(size == numbers.size() ? numbers : numbers.subList(0, size));
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerSpeeds.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerSpeeds.java
@@ -2,6 +2,7 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,7 +23,13 @@
      */
     private static final double MAX_TIMES_MEDIAN = 5;
 
+    /** The shortest time between two announcements of changes: each computes the medians of all servers. */
+    private static final Duration CHANGES_INTERVAL = Duration.ofSeconds(1);
+
     private final ServerDirectory directory;
+    private List<SpeedAnnouncement> dueChanges = List.of();
+    private long announcedNanos;
+    private boolean announced;
 
     private ServerSpeeds(ServerDirectory directory) {
         this.directory = requireNonNull(directory, "directory is null");
@@ -50,10 +57,24 @@
      * @return the speeds that this entry has measured itself, of at most 256 servers
      */
     public List<SpeedAnnouncement> gossip(boolean complete, long nowNanos) {
+        return complete
+                ? announcements(state -> state.speedEstimate().announcement(state.server(), nowNanos))
+                : changes(nowNanos);
+    }
+
+    private List<SpeedAnnouncement> changes(long nowNanos) {
+        boolean due = !announced || nowNanos - announcedNanos >= CHANGES_INTERVAL.toNanos();
+        if (due && dueChanges.isEmpty()) {
+            announced = true;
+            announcedNanos = nowNanos;
+            dueChanges = announcements(state -> state.speedEstimate().dueAnnouncement(state.server(), nowNanos));
+        }
+        return dueChanges;
+    }
+
+    private List<SpeedAnnouncement> announcements(Function<ServerState, Optional<SpeedAnnouncement>> source) {
         return directory.all().stream()
-                .map(state -> complete
-                        ? state.speedEstimate().announcement(state.server(), nowNanos)
-                        : state.speedEstimate().dueAnnouncement(state.server(), nowNanos))
+                .map(source)
                 .flatMap(Optional::stream)
                 .limit(MAX_ANNOUNCED_SERVERS)
                 .toList();
@@ -61,13 +82,12 @@
 
     // -- commands
 
-    /**
-     * Records that all changes were sent to the peers.
-     *
-     * @param nowNanos the current time, from {@link System#nanoTime}
-     */
-    public void markAnnounced(long nowNanos) {
-        directory.all().forEach(state -> state.speedEstimate().markAnnounced(state.server(), nowNanos));
+    /** Records that the changes were sent to the peers. */
+    public void markAnnounced() {
+        dueChanges.forEach(due -> directory
+                .find(due.server())
+                .ifPresent(state -> state.speedEstimate().markAnnounced(due)));
+        dueChanges = List.of();
     }
 
     /**
--- a/core/src/main/java/org/geraniumford/core/fleet/SpeedEstimate.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/SpeedEstimate.java
@@ -212,8 +212,8 @@
     }
 
     /** Records that the peers were told of the announcement that is due. */
-    void markAnnounced(BackendServer server, long nowNanos) {
-        dueAnnouncement(server, nowNanos).ifPresent(due -> announced = due);
+    void markAnnounced(SpeedAnnouncement due) {
+        announced = due;
     }
 
     private static double clamp(double value, double least, double most) {
--- a/core/src/main/java/org/geraniumford/core/limits/PeerPresence.java
+++ b/core/src/main/java/org/geraniumford/core/limits/PeerPresence.java
@@ -12,9 +12,9 @@
  */
 final class PeerPresence {
     /**
-     * Peers send a message at least every 300 ms while a limit is in use, and every 600 ms otherwise; one may be lost.
+     * Peers send a message at least every 450 ms while a limit is in use, and every 600 ms otherwise; one may be lost.
      */
-    static final Duration TIMEOUT = Duration.ofMillis(750);
+    static final Duration TIMEOUT = Duration.ofSeconds(1);
 
     /** After a longer gap between two uses of this object, this process was paused and could not hear anybody. */
     private static final Duration MAX_GAP = Duration.ofMillis(300);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/SpeedReport.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/SpeedReport.java
@@ -15,7 +15,7 @@
 /** Keeps the servers' speeds up to date, and reports large changes. Used only on the network thread. */
 final class SpeedReport {
     /** Decisions use speeds of this age at most. */
-    private static final Duration REFRESH_INTERVAL = Duration.ofMillis(500);
+    private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(1);
 
     /** A speed that differs from the logged one by a larger factor is logged. */
     private static final double LOGGED_FACTOR = 1.5;
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -45,6 +45,9 @@
     /** The longest time between two messages to a peer. */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(450);
 
+    /** The interval while limits of customers are in use, whose shares depend on who is heard. */
+    private static final Duration LIMITS_HEARTBEAT_INTERVAL = Duration.ofMillis(300);
+
     /** How often all state is sent to all peers, so that nothing that was missed stays missing. */
     private static final Duration REFRESH_INTERVAL = Duration.ofSeconds(2);
 
@@ -221,7 +224,8 @@
         }
         lastTickNanos = nowNanos;
         boolean inUse = state.customerLimits().accounts().isInUse(nowNanos);
-        boolean due = inUse || nowNanos - announcedNanos >= HEARTBEAT_INTERVAL.toNanos() || hasChanges();
+        Duration heartbeat = inUse ? LIMITS_HEARTBEAT_INTERVAL : HEARTBEAT_INTERVAL;
+        boolean due = nowNanos - announcedNanos >= heartbeat.toNanos() || hasChanges();
         if (due && !announcedSinceTick) {
             announce();
         }
@@ -267,7 +271,7 @@
         state.cacheStores().savedSegments().markAnnounced();
         state.customerLimits().accounts().markAnnounced();
         state.directory().markAnnounced();
-        state.serverSpeeds().markAnnounced(announcedNanos);
+        state.serverSpeeds().markAnnounced();
     }
 
     private void send(Link link, GossipMessages messages, LeaseSnapshot lease, boolean refresh) {
