Engines fetch from each other only where the store's link is nearly full

An engine also provided what an entry did not know to be saved, although the store may have it, and from half of the link's bandwidth on. Suspected, not shown, to be the cause; now from three quarters, and only if a store is busy or there is none.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/PrefixTransfers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/PrefixTransfers.java
@@ -15,15 +15,14 @@
 
 /**
  * Decides from where an engine fetches the shared segments of a prompt that it does not have cached: from their cache
- * store, or from another engine if the store does not have them or its link is busy. Runs on the gateway's network
- * thread.
+ * store, or from another engine if there is no store or its link is busy. Runs on the gateway's network thread.
  */
 final class PrefixTransfers {
     /**
-     * The use of a store's link from which on engines fetch from each other. Transfers wait for each other, so the wait
-     * grows fast above half of the bandwidth.
+     * The use of a store's link from which on engines fetch from each other. Transfers wait for each other, and the
+     * wait grows fast near the bandwidth; below, the store is more certain to have a prefix than an engine.
      */
-    private static final double BUSY_UTILIZATION = 0.5;
+    private static final double BUSY_UTILIZATION = 0.75;
 
     private static final double CROSS_DOMAIN_FACTOR = 2;
 
@@ -66,8 +65,8 @@
         long nowNanos = System.nanoTime();
         Optional<CacheStore> store = stores().storeOf(scoped.sharedSegments());
         boolean stored = stores().isFetchable(scoped.sharedSegments());
-        boolean useful =
-                !stored || store.filter(found -> isBusy(found, nowNanos)).isPresent();
+        // The store may have what is not known to be saved, and its content is more certain than that of an engine.
+        boolean useful = store.map(found -> isBusy(found, nowNanos)).orElse(true);
         Optional<String> provider = useful ? provider(fetching, scoped, nowNanos) : Optional.empty();
         if (provider.isEmpty() && stored) {
             store.ifPresent(found -> record(found, fetching, missingTokens, nowNanos));
