--- a/review/harness-2/Store.java
+++ b/review/harness-2/Store.java
@@ -41,22 +41,26 @@
     }
 
     synchronized void put(String table, String key, String json) {
-        change(table, key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)), false);
+        put(table, "", key, json);
+    }
+
+    synchronized void put(String table, String part, String key, String json) {
+        change(table, part, key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)), false);
     }
 
     synchronized void remove(String table, String key) {
-        change(table, key, "", true);
+        change(table, "", key, "", true);
     }
 
-    private void change(String table, String key, String value, boolean removed) {
+    private void change(String table, String part, String key, String value, boolean removed) {
         version++;
-        ObjectNode row = JSON.createObjectNode().put("table", table).put("part", "").put("key", key);
+        ObjectNode row = JSON.createObjectNode().put("table", table).put("part", part).put("key", key);
         row.put("value", value).put("ver", version);
         if (removed) {
             row.put("removed", true);
-            rows.remove(table + "\n" + key);
+            rows.remove(table + "\n" + part + "\n" + key);
         } else {
-            rows.put(table + "\n" + key, row);
+            rows.put(table + "\n" + part + "\n" + key, row);
         }
         history.add(row);
         notifyAll();
@@ -96,6 +100,7 @@
         ArrayNode found = answer.putArray("rows");
         for (ObjectNode row : rows.values()) {
             if (row.path("table").asText().equals(query.get("table"))
+                    && row.path("part").asText().equals(query.getOrDefault("part", ""))
                     && row.path("key").asText().compareTo(query.getOrDefault("from", "")) >= 0) {
                 found.add(row);
             }
@@ -124,10 +129,14 @@
         }
     }
 
+    private static String name(JsonNode row) {
+        return row.path("table").asText() + "\n" + row.path("part").asText() + "\n"
+                + row.path("key").asText();
+    }
+
     private synchronized int transact(JsonNode body, ObjectNode answer) {
         for (JsonNode expected : body.path("expected")) {
-            ObjectNode row =
-                    rows.get(expected.path("table").asText() + "\n" + expected.path("key").asText());
+            ObjectNode row = rows.get(name(expected));
             if ((row == null ? 0 : row.path("ver").asLong()) != expected.path("ver").asLong()) {
                 ArrayNode current = answer.putArray("rows");
                 if (row != null) {
@@ -138,10 +147,20 @@
             }
         }
         for (JsonNode write : body.path("writes")) {
-            change(write.path("table").asText(), write.path("key").asText(), write.path("value").asText(), false);
+            change(
+                    write.path("table").asText(),
+                    write.path("part").asText(),
+                    write.path("key").asText(),
+                    write.path("value").asText(),
+                    false);
         }
         for (JsonNode removed : body.path("remove")) {
-            change(removed.path("table").asText(), removed.path("key").asText(), "", true);
+            change(
+                    removed.path("table").asText(),
+                    removed.path("part").asText(),
+                    removed.path("key").asText(),
+                    "",
+                    true);
         }
         answer.put("ver", version);
         return 200;
