--- a/review/10/HangupAtStart.java
+++ b/review/extra-2/HangupAtStart.java
@@ -84,7 +84,7 @@
 
     public static void main(String[] arguments) throws Exception {
         Path root = Path.of(arguments[0]).toRealPath();
-        Path folder = Files.createTempDirectory("review-10");
+        Path folder = Files.createTempDirectory("review-extra");
         int result = 2;
         try (Record record = new Record(Path.of(arguments[1]))) {
             result = run(record, root, folder, !"0".equals(System.getenv("TROUBLE")));
