--- a/review/harness-2/Entry.java
+++ b/review/harness-2/Entry.java
@@ -66,6 +66,8 @@
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log.toString())));
         builder.environment().put("GERANIUMFORD_NODE_FILE", settings.toString());
         process = builder.start();
+        // Also if the script is stopped.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     boolean isReady() {
