--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -104,22 +104,12 @@
             return;
         }
         Duration timeLeft = request.timeLeft();
-        if (timeLeft.isNegative() || timeLeft.isZero()) {
+        Optional<SendObstacle> obstacle =
+                SendObstacle.of(timeLeft, weights.maySend(), server.pause().lasts(System.nanoTime()));
+        if (obstacle.isPresent()) {
             newConnection.abort();
-            detail = "the time was over before it was sent";
-            endWithFailure(new AttemptFailure.Unreachable(), Reason.DEADLINE_PASSED);
-            return;
-        }
-        if (!weights.maySend()) {
-            newConnection.abort();
-            detail = "the weights became too old before it was sent";
-            endWithFailure(new AttemptFailure.Unreachable(), Reason.WRONG_WEIGHTS);
-            return;
-        }
-        if (server.pause().lasts(System.nanoTime())) {
-            newConnection.abort();
-            detail = "the server asked for a pause before it was sent";
-            endWithFailure(new AttemptFailure.Unreachable(), Reason.SERVER_PAUSED);
+            detail = obstacle.get().detail();
+            endWithFailure(new AttemptFailure.Unreachable(), obstacle.get().reason());
             return;
         }
         connection = newConnection;
@@ -256,6 +246,11 @@
         }
     }
 
+    @Override
+    public Duration silenceBeforeEnd() {
+        return ended ? Duration.ZERO : bodyCheck.silenceBeforeEnd(head);
+    }
+
     @Override
     public void surplus(ByteBuf bytes) {
         if (!ended) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/BodyCheck.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/BodyCheck.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import org.geraniumford.transport.forward.ResponseLimits;
@@ -31,6 +32,21 @@
         return new BodyCheck(EmbeddedHeadDetector.of(requireNonNull(headFields, "headFields is null")));
     }
 
+    // -- queries
+
+    /**
+     * Returns for how long nothing must follow the body before it counts as whole: it may have been broken off within
+     * bytes that look like its own.
+     */
+    Duration silenceBeforeEnd(HttpResponse head) {
+        return mayContinue(head) ? detector.bodyEnd().silence() : Duration.ZERO;
+    }
+
+    /** Returns whether bytes behind the body may continue a head that begins in it; not behind a last chunk. */
+    private static boolean mayContinue(HttpResponse head) {
+        return HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+    }
+
     // -- commands
 
     /** Checks the next bytes before they are used, and returns why the body cannot be; empty if it can. */
@@ -44,12 +60,9 @@
         return fault();
     }
 
-    /**
-     * Checks the bytes behind the response, which may continue a head that begins within the body; not if the body ends
-     * with a last chunk, which stands between them.
-     */
+    /** Checks the next bytes behind the response, which may continue a head that begins within the body. */
     Optional<String> feedSurplus(HttpResponse head, ByteBuf bytes) {
-        if (HttpUtil.isTransferEncodingChunked(head)) {
+        if (!mayContinue(head)) {
             return Optional.empty();
         }
         detector.endBody();
--- a/transport/src/main/java/org/geraniumford/transport/forward/ResponseListener.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ResponseListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 
 /** Receives a server's response to one request. Called on the network thread, which must not block. */
 public interface ResponseListener {
@@ -37,7 +38,18 @@
     void content(ByteBuf chunk);
 
     /**
-     * Called before {@link #end} with the bytes that arrived with the response and follow it.
+     * Returns for how long nothing must follow the last byte of the body before {@link #end} is called, because what
+     * follows may show that the body was broken off. Asked after the last byte of the body and after each
+     * {@link #surplus}.
+     *
+     * @return the time since the last byte that was received; zero if the response is complete
+     */
+    default Duration silenceBeforeEnd() {
+        return Duration.ZERO;
+    }
+
+    /**
+     * Called before {@link #end} with the next bytes that follow the response.
      *
      * @param bytes the bytes, which may continue what the body ends with; released by the connection after the call
      */
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -2,7 +2,6 @@
 
 import static java.util.Objects.requireNonNull;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -62,6 +61,8 @@
     /** Whether the response is complete, while bytes that arrived with it may still have to be read. */
     private boolean finished;
 
+    private final ResponseSurplus surplus;
+
     /** The reason that the listener receives if the connection ends before the response is complete. */
     private String failure = "closed";
 
@@ -79,6 +80,7 @@
         this.keepAlive = keepAlive;
         this.idleListener = idleListener;
         this.closedListener = closedListener;
+        this.surplus = ResponseSurplus.of(channel, this::handleSilence);
     }
 
     // -- queries
@@ -125,6 +127,7 @@
         finished = false;
         ignoredResponses = 0;
         skippedBytes = 0;
+        surplus.clear();
         decoder().ifPresent(StrictResponseDecoder::resume);
         channel.writeAndFlush(request).addListener(written -> {
             if (!written.isSuccess()) {
@@ -138,6 +141,7 @@
     public void abort() {
         listener = null;
         reusable = false;
+        surplus.stopWaiting();
         channel.close();
     }
 
@@ -232,18 +236,38 @@
         }
     }
 
-    /** Ends a response whose last bytes were read, once it is known what arrived with them. */
-    private void completeResponse() {
+    /** Ends a response whose last bytes were read, unless what may still follow them shows whether it is whole. */
+    private void endUnlessDoubtful() {
         if (!finished || listener == null) {
             return;
         }
+        passSurplusOn();
+        Duration silence = listener == null ? Duration.ZERO : listener.silenceBeforeEnd();
+        if (silence.isZero()) {
+            endResponse();
+        } else {
+            surplus.awaitSilence(silence);
+        }
+    }
+
+    /** Ends a response that nothing has followed for long enough; the connection is not trusted with another one. */
+    private void handleSilence() {
+        reusable = false;
+        endResponse();
+        release();
+    }
+
+    private void passSurplusOn() {
+        decoder().map(StrictResponseDecoder::undecoded).ifPresent(undecoded -> surplus.passOn(undecoded, listener));
+    }
+
+    private void endResponse() {
+        surplus.stopWaiting();
         ResponseListener completed = listener;
         listener = null;
-        decoder()
-                .map(StrictResponseDecoder::undecoded)
-                .filter(ByteBuf::isReadable)
-                .ifPresent(completed::surplus);
-        completed.end();
+        if (completed != null) {
+            completed.end();
+        }
     }
 
     /**
@@ -271,18 +295,22 @@
         KeepAliveTimeout.parse(value).ifPresent(timeout -> keepAlive = timeout);
     }
 
-    /**
-     * Ends the response, and makes the connection available for reuse, only after all bytes that arrived with the
-     * response have been read. Closes it if the server has sent more than responses: the surplus would be read as the
-     * start of the next one.
-     */
+    /** Ends the response only after all bytes that arrived with it have been read. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        completeResponse();
+        endUnlessDoubtful();
+        release();
+    }
+
+    /**
+     * Makes the connection available for reuse after a response. Closes it if the server has sent more than responses:
+     * the surplus would be read as the start of the next one.
+     */
+    private void release() {
         if (listener == null && undecodedBytes() > 0) {
             closeAfterSurplusBytes();
         }
-        if (!finished) {
+        if (!finished || listener != null) {
             return;
         }
         finished = false;
@@ -319,7 +347,10 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            completeResponse();
+            if (finished && listener != null) {
+                passSurplusOn();
+                endResponse();
+            }
             channel.close();
         }
     }
@@ -339,10 +370,11 @@
 
     /**
      * Closes the connection, and returns the listener of the response that is thereby interrupted. A response that had
-     * been read to its end is not.
+     * been read to its end is not, unless its end is in doubt.
      */
     private Optional<ResponseListener> endListener(String reason) {
-        completeResponse();
+        endUnlessDoubtful();
+        surplus.stopWaiting();
         failure = reason;
         reusable = false;
         ResponseListener interrupted = listener;
--- a/transport/src/main/java/org/geraniumford/transport/response/EmbeddedHeadDetector.java
+++ b/transport/src/main/java/org/geraniumford/transport/response/EmbeddedHeadDetector.java
@@ -8,10 +8,12 @@
 
 /**
  * Detects the head of another response within a body: a status line that is followed, before an empty line, by a field
- * that only a response's head has, or, if the bytes behind the body continue the head, by any field. Such a body was
- * broken off, and its missing bytes were filled up by the next response. A text that only mentions a status line, or
- * whose lines do not end with CR LF, is no head. Reads each byte once, and keeps at most the name of one field. Not
- * thread-safe.
+ * that only a response's head has. Such a body was broken off, and its missing bytes were filled up by the next
+ * response. A text that only mentions a status line, or whose lines do not end with CR LF, is no head.
+ *
+ * <p>Where the body ends within what may be a head, the bytes behind it decide: it is one if they complete the status
+ * line, another field or the empty line behind a field, or the empty line of an interim response, whichever way the
+ * lines end. Reads each byte once, and keeps at most the name of one field. Not thread-safe.
  */
 public final class EmbeddedHeadDetector {
     /** What a status line begins with; the characters in place of its digits are not compared. */
@@ -19,6 +21,7 @@
 
     private static final int VERSION_OFFSET = 7;
     private static final int STATUS_OFFSET = 9;
+    private static final char INTERIM_STATUS_START = '1';
     private static final int MAX_NAME_LENGTH = 64;
 
     /** The names, in lower case, of the fields that only a response's head has. */
@@ -40,6 +43,17 @@
 
     private boolean afterCarriageReturn;
 
+    /** Whether a line of the head ended with LF alone, so that it is a head only if it goes on behind the body. */
+    private boolean hasBareLineFeed;
+
+    /** Whether the status of the head is that of an interim response, whose head may have no fields. */
+    private boolean interim;
+
+    private boolean hasField;
+
+    /** Whether the last byte of the body ended the head of an interim response, which another head follows. */
+    private boolean afterInterimHead;
+
     private final StringBuilder name = new StringBuilder();
 
     /** Whether the current line of the head is a status line, or was read up to the colon of its field. */
@@ -74,6 +88,18 @@
         return found;
     }
 
+    /**
+     * Returns what the last bytes of the body look like, as far as the bytes that were read behind it leave it open.
+     *
+     * @return {@link BodyEnd#PLAIN} if no further byte can show that a head begins within the body
+     */
+    public BodyEnd bodyEnd() {
+        if (inHead || afterInterimHead) {
+            return BodyEnd.HEAD;
+        }
+        return beginsInBody ? BodyEnd.ofStatusLine(matched) : BodyEnd.PLAIN;
+    }
+
     // -- commands
 
     /**
@@ -85,7 +111,7 @@
         int end = bytes.writerIndex();
         int next = bytes.readerIndex();
         while (next >= 0 && next < end && !found) {
-            if (matched == 0 && !inHead) {
+            if (matched == 0 && !inHead && !afterInterimHead) {
                 next = bytes.indexOf(next, end, (byte) STATUS_LINE.charAt(0));
             }
             if (next >= 0) {
@@ -101,6 +127,8 @@
     }
 
     private void read(byte next) {
+        boolean inBody = !bodyEnded || afterInterimHead;
+        afterInterimHead = false;
         if (inHead) {
             readHead(next);
         }
@@ -108,7 +136,8 @@
             matched = 0;
         }
         if (matches(next)) {
-            beginsInBody = matched == 0 ? !bodyEnded : beginsInBody;
+            beginsInBody = matched == 0 ? inBody : beginsInBody;
+            interim = matched == STATUS_OFFSET ? next == INTERIM_STATUS_START : interim;
             matched++;
         }
         if (matched == STATUS_LINE.length()) {
@@ -129,14 +158,17 @@
         inHead = beginsInBody;
         headBytes = 0;
         afterCarriageReturn = false;
+        hasBareLineFeed = false;
+        hasField = false;
         nameEnded = true;
     }
 
     private void readHead(byte next) {
         headBytes++;
-        if (headBytes > StrictResponseDecoder.MAX_HEAD_BYTES || afterCarriageReturn != (next == '\n')) {
+        if (headBytes > StrictResponseDecoder.MAX_HEAD_BYTES || (afterCarriageReturn && next != '\n')) {
             inHead = false;
         } else if (next == '\n') {
+            hasBareLineFeed = hasBareLineFeed || !afterCarriageReturn;
             endLine();
         } else if (next == '\r') {
             afterCarriageReturn = true;
@@ -147,23 +179,30 @@
 
     private void endLine() {
         afterCarriageReturn = false;
-        inHead = nameEnded || !name.isEmpty();
+        if (!nameEnded && name.isEmpty()) {
+            found = bodyEnded && (hasField || interim);
+            afterInterimHead = !bodyEnded && interim;
+            inHead = false;
+        }
         nameEnded = false;
         name.setLength(0);
     }
 
-    private boolean isFieldName() {
-        return !name.isEmpty() && name.chars().allMatch(character -> character > ' ');
-    }
-
     private void readName(char next) {
         if (next == ':') {
             nameEnded = true;
-            found = bodyEnded
-                    ? isFieldName()
-                    : fieldNames.contains(name.toString().toLowerCase(Locale.ROOT));
+            hasField = hasField || isFieldName();
+            found = bodyEnded ? isFieldName() : isIdentifyingField();
         } else if (name.length() < MAX_NAME_LENGTH) {
             name.append(next);
         }
     }
+
+    private boolean isFieldName() {
+        return !name.isEmpty() && name.chars().allMatch(character -> character > ' ');
+    }
+
+    private boolean isIdentifyingField() {
+        return !hasBareLineFeed && fieldNames.contains(name.toString().toLowerCase(Locale.ROOT));
+    }
 }
--- a/transport/src/test/java/org/geraniumford/transport/response/EmbeddedHeadDetectorTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/response/EmbeddedHeadDetectorTest.java
@@ -110,4 +110,63 @@
         String padding = "A: " + "b".repeat(StrictResponseDecoder.MAX_HEAD_BYTES) + "\r\n";
         assertThat(finds("HTTP/1.1 200 OK\r\n" + padding + "Name: 1")).isFalse();
     }
+
+    // -- bodies that end within a head
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                HEAD,
+                "HTTP/1.0 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 \r\nA: 1\r\n\r\n",
+                "HTTP/1.1 500 Failed\nDate: today\nContent-Length: 0\n\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: 1\r\n\r\n"
+            })
+    void shouldLeaveTheEndOpenUntilAHeadThatBeginsWithinTheBodyIsFound(String head) {
+        for (int split = 1; split < head.length(); split++) {
+            EmbeddedHeadDetector detector = empty();
+            detector.feed(bytes("text" + head.substring(0, split)));
+            detector.endBody();
+            for (int next = split; next < head.length() && !detector.isFound(); next++) {
+                assertThat(detector.bodyEnd())
+                        .as("split at " + split + ", next at " + next)
+                        .isNotEqualTo(BodyEnd.PLAIN);
+                detector.feed(bytes(head.substring(next, next + 1)));
+            }
+            assertThat(detector.isFound()).as("split at " + split).isTrue();
+        }
+    }
+
+    @Test
+    void shouldWaitLongerForAHeadThanForALetterThatMayBeginOne() {
+        EmbeddedHeadDetector detector = empty();
+        detector.feed(bytes("text H"));
+        assertThat(detector.bodyEnd()).isEqualTo(BodyEnd.FIRST_LETTER);
+        detector.feed(bytes("T"));
+        assertThat(detector.bodyEnd()).isEqualTo(BodyEnd.HEAD);
+        assertThat(BodyEnd.HEAD.silence()).isGreaterThan(BodyEnd.FIRST_LETTER.silence());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "text", "HTTP/2", "HTTP/1.1 200 OK\r\n\r\n", "http/1.1 200 OK", "HTTP/1.1 OK", "h"})
+    void shouldNotLeaveTheEndOfAPlainBodyOpen(String body) {
+        EmbeddedHeadDetector detector = empty();
+        detector.feed(bytes(body));
+        assertThat(detector.bodyEnd()).isEqualTo(BodyEnd.PLAIN);
+        detector.endBody();
+        detector.feed(bytes("HTTP/1.1 2"));
+        assertThat(detector.bodyEnd()).isEqualTo(BodyEnd.PLAIN);
+    }
+
+    @Test
+    void shouldCloseAnOpenEndWhenWhatFollowsIsNoHead() {
+        for (String surplus : List.of("x", "HTTP/1.1 200 OK\r\n", "\r\n", " ")) {
+            EmbeddedHeadDetector detector = empty();
+            detector.feed(bytes("text HTT"));
+            detector.endBody();
+            detector.feed(bytes(surplus));
+            assertThat(detector.bodyEnd()).as(surplus).isEqualTo(BodyEnd.PLAIN);
+            assertThat(detector.isFound()).as(surplus).isFalse();
+        }
+    }
 }
