--- a/core/src/main/java/org/geraniumford/core/weights/LeaseSnapshot.java
+++ b/core/src/main/java/org/geraniumford/core/weights/LeaseSnapshot.java
@@ -24,4 +24,15 @@
     public static LeaseSnapshot empty() {
         return new LeaseSnapshot(0, "");
     }
+
+    // -- queries
+
+    /**
+     * Returns whether this snapshot contains no row.
+     *
+     * @return true if the row did not exist when it was read
+     */
+    public boolean isEmpty() {
+        return version == 0;
+    }
 }
--- a/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
@@ -7,6 +7,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import org.geraniumford.core.text.LineField;
 
 /**
  * The weights lease, one row of the store. It determines which host orders engines to load weights, and contains the
@@ -18,10 +20,14 @@
  * @param holder the host that holds the lease; an empty string before the first holder
  * @param renewedMillis when the row was last written, in milliseconds on the store's clock; 0 after a release
  * @param intents the intents of recent orders
+ * @param intentsLostMillis when a row was found whose intents could not be read, in milliseconds on the store's clock;
+ *     0 if that is long ago or never was
  */
-public record WeightsLease(long fencingToken, String holder, long renewedMillis, List<OrderIntent> intents) {
+public record WeightsLease(
+        long fencingToken, String holder, long renewedMillis, List<OrderIntent> intents, long intentsLostMillis) {
     private static final String SEPARATOR = " ";
     private static final int HEAD_FIELDS = 3;
+    private static final int HEAD_FIELDS_WITH_LOSS = 4;
     private static final int INTENT_FIELDS = 6;
 
     /** Checks and copies the components. */
@@ -38,7 +44,20 @@
      * @return a lease without a holder
      */
     public static WeightsLease empty() {
-        return new WeightsLease(0, "", 0, List.of());
+        return new WeightsLease(0, "", 0, List.of(), 0);
+    }
+
+    /**
+     * Returns the lease of a row whose value cannot be read. Its holder is unknown and counts as alive, and orders that
+     * it has issued may be on their way to any server.
+     *
+     * @param rowVersion the version of the row, which is at least as high as each fencing token that was written to it:
+     *     a write raises the token by one at most and the version by one at least
+     * @param nowMillis the time on the store's clock in milliseconds
+     * @return a fresh lease, with the version as its fencing token
+     */
+    public static WeightsLease ofUnreadableRow(long rowVersion, long nowMillis) {
+        return new WeightsLease(rowVersion, "", nowMillis, List.of(), nowMillis);
     }
 
     /**
@@ -51,14 +70,20 @@
         String[] lines = text.split("\n", -1);
         String[] head = lines[0].split(SEPARATOR, -1);
         try {
-            if (head.length != HEAD_FIELDS) {
+            if (head.length != HEAD_FIELDS && head.length != HEAD_FIELDS_WITH_LOSS) {
                 return Optional.empty();
             }
-            List<OrderIntent> intents = new ArrayList<>();
-            for (String line : Arrays.asList(lines).subList(1, lines.length)) {
-                intents.add(decodeIntent(line.split(SEPARATOR, -1)));
-            }
-            return Optional.of(new WeightsLease(Long.parseLong(head[0]), head[1], Long.parseLong(head[2]), intents));
+            List<OrderIntent> intents = Arrays.stream(lines)
+                    .skip(1)
+                    .map(line -> decodeIntent(line.split(SEPARATOR, -1)))
+                    .toList();
+            long intentsLostMillis = head.length == HEAD_FIELDS ? 0 : Long.parseLong(head[3]);
+            return Optional.of(new WeightsLease(
+                    Long.parseLong(head[0]),
+                    LineField.decode(head[1]),
+                    Long.parseLong(head[2]),
+                    intents,
+                    intentsLostMillis));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
@@ -69,10 +94,10 @@
             throw new IllegalArgumentException("intent does not have " + INTENT_FIELDS + " fields");
         }
         return new OrderIntent(
-                fields[0],
-                fields[1],
+                LineField.decode(fields[0]),
+                LineField.decode(fields[1]),
                 Integer.parseInt(fields[2]),
-                fields[3],
+                LineField.decode(fields[3]),
                 Long.parseLong(fields[4]),
                 Boolean.parseBoolean(fields[5]));
     }
@@ -82,21 +107,26 @@
     /**
      * Encodes the lease as the value of the row.
      *
-     * @return one line for the lease and one line for each intent, with fields separated by spaces
+     * @return one line for the lease and one line for each intent, with fields separated by spaces; names are encoded
+     *     by {@link LineField}
      */
     public String encode() {
-        StringBuilder text = new StringBuilder(
-                String.join(SEPARATOR, String.valueOf(fencingToken), holder, String.valueOf(renewedMillis)));
-        intents.forEach(intent -> text.append('\n')
-                .append(String.join(
+        String head = String.join(
+                SEPARATOR, String.valueOf(fencingToken), LineField.encode(holder), String.valueOf(renewedMillis));
+        String loss = intentsLostMillis == 0 ? "" : SEPARATOR + intentsLostMillis;
+        return intents.stream().map(WeightsLease::encodeIntent).collect(Collectors.joining("", head + loss, ""));
+    }
+
+    private static String encodeIntent(OrderIntent intent) {
+        return '\n'
+                + String.join(
                         SEPARATOR,
-                        intent.server(),
-                        intent.model(),
+                        LineField.encode(intent.server()),
+                        LineField.encode(intent.model()),
                         String.valueOf(intent.version()),
-                        intent.holder(),
+                        LineField.encode(intent.holder()),
                         String.valueOf(intent.recordedMillis()),
-                        String.valueOf(intent.done()))));
-        return text.toString();
+                        String.valueOf(intent.done()));
     }
 
     /**
@@ -106,9 +136,13 @@
      * @param host the host that would issue the order
      * @param nowMillis the time on the store's clock in milliseconds
      * @param spacing the time that must pass between the intents of two holders for one server
-     * @return true if no other holder recorded an order to the server within the spacing
+     * @return true if no other holder recorded an order to the server within the spacing, and none can have done so
+     *     with an intent that could not be read
      */
     public boolean canOrder(String server, String host, long nowMillis, Duration spacing) {
+        if (intentsLostMillis > 0 && nowMillis - intentsLostMillis <= spacing.toMillis()) {
+            return false;
+        }
         return intents.stream()
                 .filter(intent ->
                         intent.server().equals(server) && !intent.holder().equals(host))
@@ -126,6 +160,15 @@
         return fencingToken > 0 && nowMillis - renewedMillis < timeout.toMillis();
     }
 
+    /**
+     * Returns whether it is not known which host holds the lease, because the row could not be read.
+     *
+     * @return false before the first holder
+     */
+    public boolean isOfUnknownHolder() {
+        return fencingToken > 0 && holder.isEmpty();
+    }
+
     // -- transitions
 
     /**
@@ -144,7 +187,13 @@
                 .filter(intent -> newIntents.stream().noneMatch(newIntent -> sameOrder(newIntent, intent)))
                 .toList());
         recent.addAll(newIntents);
-        return new WeightsLease(holder.equals(host) ? fencingToken : fencingToken + 1, host, nowMillis, recent);
+        boolean lossRetained = nowMillis - intentsLostMillis < retention.toMillis();
+        return new WeightsLease(
+                holder.equals(host) ? fencingToken : fencingToken + 1,
+                host,
+                nowMillis,
+                recent,
+                lossRetained ? intentsLostMillis : 0);
     }
 
     /**
@@ -153,7 +202,7 @@
      * @return a lease that is no longer fresh
      */
     public WeightsLease released() {
-        return new WeightsLease(fencingToken, holder, 0, intents);
+        return new WeightsLease(fencingToken, holder, 0, intents, intentsLostMillis);
     }
 
     private static boolean sameOrder(OrderIntent order, OrderIntent intent) {
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
@@ -2,8 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
 
 final class WeightsLeaseTest {
@@ -16,7 +20,7 @@
 
     @Test
     void shouldReturnEqualLeaseWhenEncodedAndDecoded() {
-        WeightsLease lease = new WeightsLease(3, "host-a", 17, List.of(intent("s1", "host-a", 16)));
+        WeightsLease lease = new WeightsLease(3, "host-a", 17, List.of(intent("s1", "host-a", 16)), 0);
         assertThat(WeightsLease.decode(lease.encode())).contains(lease);
         assertThat(WeightsLease.decode(WeightsLease.empty()
                         .renewedBy("h", 1, List.of(), RETENTION)
@@ -62,4 +66,42 @@
                         .intents())
                 .hasSize(0);
     }
+
+    // -- names that others choose
+
+    /** Guards against a row that its own writer cannot read, because a name holds what separates its fields. */
+    @Property(tries = 1000)
+    void shouldReturnEqualLeaseWhateverTheNamesHold(
+            @ForAll String server, @ForAll String model, @ForAll String holder, @ForAll @LongRange(min = 0) long lost) {
+        OrderIntent first = new OrderIntent(server, model, 3, holder, 5, true);
+        OrderIntent second = new OrderIntent(model, holder, 4, server, 6, false);
+        WeightsLease lease = new WeightsLease(9, holder, 17, List.of(first, second), lost);
+        String stored = new String(lease.encode().getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8);
+        assertThat(WeightsLease.decode(stored)).contains(lease);
+    }
+
+    @Test
+    void shouldReadRowsThatWereWrittenBeforeNamesWereEncoded() {
+        OrderIntent intent = new OrderIntent("server-1", "50%", 3, "front-a-1", 99, false);
+        assertThat(WeightsLease.decode("7 front-a-1 12\nserver-1 50% 3 front-a-1 99 false"))
+                .contains(new WeightsLease(7, "front-a-1", 12, List.of(intent), 0));
+        assertThat(WeightsLease.decode("0  0")).contains(WeightsLease.empty());
+        assertThat(WeightsLease.decode("7 front-a-1 12\ns Walia LLM 3 front-a-1 99 false"))
+                .isEmpty();
+    }
+
+    @Test
+    void shouldNotAllowAnyOrderAfterAnUnreadableRowUntilSpacingHasPassed() {
+        WeightsLease lease = WeightsLease.ofUnreadableRow(40, 1000);
+        assertThat(lease.isOfUnknownHolder()).isTrue();
+        assertThat(lease.isFresh(2999, Duration.ofSeconds(2))).isTrue();
+        assertThat(lease.isFresh(3000, Duration.ofSeconds(2))).isFalse();
+        WeightsLease taken = lease.renewedBy("host-b", 3000, List.of(), RETENTION);
+        assertThat(taken.fencingToken()).isEqualTo(41);
+        assertThat(taken.canOrder("s1", "host-b", 5000, SPACING)).isFalse();
+        assertThat(WeightsLease.decode(taken.encode())).contains(taken);
+        assertThat(taken.canOrder("s1", "host-b", 5001, SPACING)).isTrue();
+        assertThat(taken.renewedBy("host-b", 10_000, List.of(), RETENTION).intentsLostMillis())
+                .isZero();
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -133,9 +133,9 @@
     // -- events
 
     /**
-     * Applies the lease row if it is newer than the known one.
+     * Applies the lease row if it is newer than the known one and can be read.
      *
-     * @param snapshot the row as a peer announced it or the store returned it
+     * @param snapshot the row as a peer announced it
      */
     public void applyLeaseSnapshot(LeaseSnapshot snapshot) {
         if (snapshot.version() > rowVersion) {
@@ -144,6 +144,25 @@
         }
     }
 
+    /** Applies the row as the store returned it, so that the next write expects its version whatever it holds. */
+    private void applyRow(LeaseSnapshot row) {
+        if (row.isEmpty()) {
+            rowVersion = 0;
+        } else if (row.version() > rowVersion) {
+            adoptLease(readLease(row), row.version());
+        }
+    }
+
+    private WeightsLease readLease(LeaseSnapshot row) {
+        return WeightsLease.decode(row.encodedLease()).orElseGet(() -> {
+            LogEvent.of("lease_unreadable")
+                    .with("row", row.version())
+                    .with("value", LogEvent.limited(row.encodedLease()))
+                    .warn();
+            return WeightsLease.ofUnreadableRow(row.version(), leaseStore.nowMillis());
+        });
+    }
+
     private void adoptLease(WeightsLease newLease, long newRowVersion) {
         lease = newLease;
         rowVersion = newRowVersion;
@@ -188,6 +207,10 @@
         return lease.holder().equals(host);
     }
 
+    private boolean isHolderAlive() {
+        return lease.isOfUnknownHolder() || state.isPeerAlive(lease.holder());
+    }
+
     // -- commands
 
     /**
@@ -228,7 +251,7 @@
     private void reconcile() {
         long nowNanos = System.nanoTime();
         boolean holdsLease = holdsLease();
-        if (!holdsLease && lease.isFresh(leaseStore.nowMillis(), LEASE_TIMEOUT) && state.isPeerAlive(lease.holder())) {
+        if (!holdsLease && lease.isFresh(leaseStore.nowMillis(), LEASE_TIMEOUT) && isHolderAlive()) {
             takeoverPending = false;
             return;
         }
@@ -267,7 +290,7 @@
             storeCallPending = false;
             rowRead = failure == null;
             if (failure == null) {
-                applyLeaseSnapshot(snapshot);
+                applyRow(snapshot);
             } else {
                 lastWriteNanos = System.nanoTime() + WRITE_BACKOFF.toNanos();
                 LogEvent.of("lease_unread").with("cause", failure).info();
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -15,6 +15,8 @@
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class RolloutControllerTest {
     private static final Duration LONGER_THAN_WRITE_INTERVAL = Duration.ofMillis(300);
@@ -66,12 +68,74 @@
         assertThat(engine.orders).isEqualTo(1);
     }
 
+    // -- rows that cannot be read
+
+    private void listOutdatedEngine() {
+        state.directory()
+                .register(
+                        new BackendServer("engine", 1, "engines", "10.0.0.1:80", "here", 8, false, Map.of("model", 1)));
+        state.recordPublishedWeights(new PublishedWeights("model", 2, 0, 0, true), "store");
+    }
+
+    private void tickAfter(long millis) throws InterruptedException {
+        leases.nowMillis += millis;
+        Thread.sleep(LONGER_THAN_WRITE_INTERVAL.toMillis());
+        controller.tick();
+        controller.tick();
+    }
+
+    /** Guards against a rollout that nobody can go on with, because each write expects version 0 of an existing row. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "3 host-a 100000\ni-0 Walia LLM 3 host-a 99000 false", "3 host-a", "\u0000", "{}"})
+    void shouldTakeOverARowThatCannotBeReadOnceItIsNoLongerRenewed(String value) throws Exception {
+        leases.row = new LeaseSnapshot(40, value);
+        listOutdatedEngine();
+        tickAfter(0);
+        tickAfter(1900);
+        assertThat(leases.expectedVersions).isEmpty();
+        tickAfter(200);
+        tickAfter(1000);
+        tickAfter(1000);
+        assertThat(engine.orders).isEqualTo(1);
+        assertThat(leases.expectedVersions).startsWith(40L);
+        assertThat(leases.written).allMatch(lease -> lease.fencingToken() == 41);
+    }
+
+    @Test
+    void shouldNotTakeOverARowThatCannotBeReadWhileItsHolderRenewsIt() throws Exception {
+        listOutdatedEngine();
+        for (int i = 0; i < 6; i++) {
+            leases.row = new LeaseSnapshot(40 + i, "a row of another version of this program");
+            tickAfter(1000);
+        }
+        assertThat(leases.expectedVersions).isEmpty();
+        assertThat(engine.orders).isZero();
+    }
+
+    @Test
+    void shouldWriteANewRowWhenTheOperatorHasRemovedIt() throws Exception {
+        leases.row = new LeaseSnapshot(40, "7 host-a 0");
+        listOutdatedEngine();
+        leases.losesWrites = true;
+        tickAfter(0);
+        assertThat(leases.expectedVersions).containsOnly(40L);
+        leases.losesWrites = false;
+        leases.row = LeaseSnapshot.empty();
+        tickAfter(5000);
+        tickAfter(5000);
+        tickAfter(1000);
+        assertThat(leases.expectedVersions).contains(0L);
+    }
+
     // -- stand-ins
 
     private static final class RecordedLeases implements LeaseStore {
         private final List<WeightsLease> written = new ArrayList<>();
         private long nowMillis = 100_000;
+        private final List<Long> expectedVersions = new ArrayList<>();
+        private LeaseSnapshot row = LeaseSnapshot.empty();
         private boolean losesReads;
+        private boolean losesWrites;
 
         List<OrderIntent> lastIntents() {
             return written.get(written.size() - 1).intents();
@@ -79,11 +143,15 @@
 
         @Override
         public CompletableFuture<LeaseSnapshot> read() {
-            return losesReads ? new CompletableFuture<>() : CompletableFuture.completedFuture(LeaseSnapshot.empty());
+            return losesReads ? new CompletableFuture<>() : CompletableFuture.completedFuture(row);
         }
 
         @Override
         public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
+            expectedVersions.add(expectedVersion);
+            if (losesWrites) {
+                return CompletableFuture.completedFuture(OptionalLong.empty());
+            }
             written.add(lease);
             return CompletableFuture.completedFuture(OptionalLong.of(written.size()));
         }
