--- a/core/src/main/java/org/geraniumford/core/fleet/ScopedPrompt.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ScopedPrompt.java
@@ -24,16 +24,16 @@
     /**
      * Computes the keys of a prompt's segments within a scope.
      *
-     * @param scope the name of the scope, which is part of every key
+     * @param scope the scope, whose name is part of every key
      * @param prompt the prompt's model, sizes and segments
      * @return the prompt with the keys of its segments
      */
-    public static ScopedPrompt of(String scope, PromptSpec prompt) {
-        requireNonNull(scope, "scope is null");
+    public static ScopedPrompt of(SegmentScope scope, PromptSpec prompt) {
+        String name = requireNonNull(scope, "scope is null").name();
         return new ScopedPrompt(
                 prompt,
                 prompt.segments().stream()
-                        .map(segment -> ScopedSegment.of(scope, segment))
+                        .map(segment -> ScopedSegment.of(name, segment))
                         .toList());
     }
 
--- a/core/src/main/java/org/geraniumford/core/text/LineField.java
+++ b/core/src/main/java/org/geraniumford/core/text/LineField.java
@@ -45,7 +45,8 @@
         return character > ' ' && character != ESCAPE && character != DELETE;
     }
 
-    private static boolean isUnpairedSurrogate(String text, int index) {
+    /** Returns whether the character at an index is a surrogate that has no partner, which UTF-8 cannot express. */
+    static boolean isUnpairedSurrogate(String text, int index) {
         char character = text.charAt(index);
         if (Character.isHighSurrogate(character)) {
             return index + 1 == text.length() || !Character.isLowSurrogate(text.charAt(index + 1));
--- a/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
@@ -13,6 +13,7 @@
 import org.geraniumford.core.prompt.PromptSegment;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.EngineSpec;
+import org.geraniumford.core.service.SharingGroup;
 
 /**
  * Arrivals at engines that prefill prompts in chunks, more urgent ones first, while each running response gets a token
@@ -124,7 +125,7 @@
                 List.of(
                         new PromptSegment("shared-" + kind.name(), kind.sharedTokens()),
                         new PromptSegment("own-" + ids, kind.uncachedTokens())));
-        ScopedPrompt scoped = ScopedPrompt.of("scope", prompt);
+        ScopedPrompt scoped = ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), prompt);
         ServerQuery query = new ServerQuery(
                 "service",
                 "here",
--- a/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
@@ -20,6 +20,7 @@
 import org.geraniumford.core.limits.RefusalTurns;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.EngineSpec;
+import org.geraniumford.core.service.SharingGroup;
 import org.junit.jupiter.api.Test;
 
 /** The loads are those of deployment A of the specification. */
@@ -41,7 +42,7 @@
                 "service",
                 "here",
                 1000,
-                prompt.map(spec -> ScopedPrompt.of("scope", spec)),
+                prompt.map(spec -> ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), spec)),
                 1,
                 0,
                 OptionalLong.empty(),
--- a/core/src/test/java/org/geraniumford/core/fleet/PrefixProvidersTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/PrefixProvidersTest.java
@@ -11,6 +11,7 @@
 import org.geraniumford.core.prompt.PromptSegment;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.EngineSpec;
+import org.geraniumford.core.service.SharingGroup;
 import org.junit.jupiter.api.Test;
 
 /** Guards against engines that prefill a shared prefix again, or wait for a busy store, though another one has it. */
@@ -25,7 +26,7 @@
 
     private static ScopedPrompt prompt(String session) {
         return ScopedPrompt.of(
-                "scope",
+                new SegmentScope(SharingGroup.shared(), "1"),
                 new PromptSpec(
                         MODEL,
                         9190,
--- a/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
@@ -14,6 +14,7 @@
 import org.geraniumford.core.limits.EntryShare;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.EngineSpec;
+import org.geraniumford.core.service.SharingGroup;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -42,7 +43,8 @@
                 "service",
                 "here",
                 100,
-                Optional.of(ScopedPrompt.of("scope", new PromptSpec("model", 10, 10, List.of()))),
+                Optional.of(ScopedPrompt.of(
+                        new SegmentScope(SharingGroup.shared(), "1"), new PromptSpec("model", 10, 10, List.of()))),
                 2,
                 2,
                 OptionalLong.empty(),
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -14,6 +14,7 @@
 import org.geraniumford.core.prompt.PromptSegment;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.EngineSpec;
+import org.geraniumford.core.service.SharingGroup;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +24,7 @@
     private static final Duration TIME_LIMIT = Duration.ofMillis(800);
     private static final PromptSpec PROMPT = new PromptSpec(
             "model", 9000, 100, List.of(new PromptSegment("house", 6000), new PromptSegment("own", 3000)));
-    private static final ScopedPrompt SCOPED = ScopedPrompt.of("scope", PROMPT);
+    private static final ScopedPrompt SCOPED = ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), PROMPT);
 
     private final ServerDirectory directory =
             ServerDirectory.empty(name -> Optional.of(new EngineSpec(64, 100_000, false)));
@@ -280,7 +281,8 @@
         state("near-2").recordWeightsVersion("model", 2);
         assertThat(chosenId(query(Set.of(), 3))).isEqualTo("near-2");
         PromptSpec longResponse = new PromptSpec("model", 9000, 400, PROMPT.segments());
-        assertThat(chosenId(query(ScopedPrompt.of("scope", longResponse), 3, Set.of())))
+        assertThat(chosenId(query(
+                        ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), longResponse), 3, Set.of())))
                 .isEqualTo("near-1");
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AdmittedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AdmittedRequest.java
@@ -7,6 +7,7 @@
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.ApiCustomer;
 import org.geraniumford.core.service.Route;
+import org.geraniumford.core.service.SharingGroup;
 
 /**
  * A request that matches a route and is allowed by the configuration.
@@ -53,17 +54,10 @@
         return request.prompt().map(PromptSpec::totalTokens).orElse(0L);
     }
 
-    /**
-     * Returns the scope within which cached prompt segments may be shared. Segments are never shared between versions
-     * of the weights, nor between an isolated customer and any other customer.
-     *
-     * @param weights the version of the weights, or a name that is unique to one engine
-     * @return the name of the scope
-     */
-    public String cacheScope(String weights) {
-        String group = customer.filter(ApiCustomer::isolated)
-                .map(isolated -> "customer-" + isolated.name())
-                .orElse("shared");
-        return group + "-" + weights;
+    /** Returns the customers with which the request's customer may share cached prompt segments. */
+    SharingGroup sharingGroup() {
+        return customer.filter(ApiCustomer::isolated)
+                .map(isolated -> SharingGroup.ofIsolated(isolated.name()))
+                .orElseGet(SharingGroup::shared);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ScopedPrompt;
+import org.geraniumford.core.fleet.SegmentScope;
 import org.geraniumford.core.fleet.SendDecision;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.fleet.ServerQuery;
@@ -224,7 +225,11 @@
 
     private ScopedPrompt scopedPrompt(PromptSpec prompt, int weights) {
         return scopedPromptsByWeights.computeIfAbsent(
-                weights, version -> ScopedPrompt.of(admitted.cacheScope(String.valueOf(version)), prompt));
+                weights, version -> ScopedPrompt.of(scope(String.valueOf(version)), prompt));
+    }
+
+    private SegmentScope scope(String weights) {
+        return new SegmentScope(admitted.sharingGroup(), weights);
     }
 
     // -- estimates about a server
@@ -299,14 +304,9 @@
             String engineName =
                     "only-" + server.server().id() + "-" + server.server().incarnation();
             return new EngineDispatch(
-                    admitted.cacheScope(engineName),
-                    weights,
-                    Optional.empty(),
-                    Optional.empty(),
-                    Optional.empty(),
-                    resumeFrom);
+                    scope(engineName), weights, Optional.empty(), Optional.empty(), Optional.empty(), resumeFrom);
         }
-        String scope = admitted.cacheScope(String.valueOf(weights.getAsInt()));
+        SegmentScope scope = scope(String.valueOf(weights.getAsInt()));
         ScopedPrompt scoped = scopedPrompt(prompt, weights.getAsInt());
         Optional<String> fetchFrom = gateway.prefixTransfers().source(server, scoped);
         server.cache().recordPrefilled(scoped.segments());
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/EngineDispatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/EngineDispatch.java
@@ -4,11 +4,12 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.geraniumford.core.fleet.SegmentScope;
 
 /**
  * Instructions to a model engine that are sent along with a request.
  *
- * @param cacheScope the scope within which the segments of the prompt may be found in a cache
+ * @param scope the scope within which the segments of the prompt may be found in a cache
  * @param weightsVersion the version of the weights that the engine must have loaded; empty if it is not known
  * @param fetchFrom the address of the cache store or engine from which the engine may fetch segments, IP:PORT; empty if
  *     it fetches none
@@ -20,7 +21,7 @@
  *     the request does not resume from a backup
  */
 public record EngineDispatch(
-        String cacheScope,
+        SegmentScope scope,
         OptionalInt weightsVersion,
         Optional<String> fetchFrom,
         Optional<String> saveTo,
@@ -28,7 +29,7 @@
         Optional<String> resumeFrom) {
     /** Checks the components. */
     public EngineDispatch {
-        requireNonNull(cacheScope, "cacheScope is null");
+        requireNonNull(scope, "scope is null");
         requireNonNull(weightsVersion, "weightsVersion is null");
         requireNonNull(fetchFrom, "fetchFrom is null");
         requireNonNull(saveTo, "saveTo is null");
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
@@ -12,10 +12,12 @@
 import java.util.OptionalInt;
 import java.util.Random;
 import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.fleet.SegmentScope;
 import org.geraniumford.core.limits.QuotaTolerance;
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.Route;
 import org.geraniumford.core.service.RouteKind;
+import org.geraniumford.core.service.SharingGroup;
 import org.geraniumford.core.service.WeightedService;
 import org.geraniumford.core.time.SharedClock;
 import org.geraniumford.core.weights.PublishedWeights;
@@ -71,7 +73,12 @@
                 Optional.empty(),
                 1,
                 prompt.map(spec -> new EngineDispatch(
-                        "scope", version, Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty())),
+                        new SegmentScope(SharingGroup.shared(), "1"),
+                        version,
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty())),
                 Optional.empty());
         return AttemptWeights.of(gateway, admitted, dispatch);
     }
--- a/transport/src/main/java/org/geraniumford/transport/link/RecordCodec.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/RecordCodec.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import org.geraniumford.core.text.Utf8Text;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -99,12 +100,12 @@
         TEXT {
             @Override
             public void write(MessagePacker packer, Object value) throws IOException {
-                packer.packString((String) value);
+                packer.packString(Utf8Text.encode((String) value));
             }
 
             @Override
             public Object read(MessageUnpacker unpacker, int limit) throws IOException {
-                return unpacker.unpackString();
+                return Utf8Text.decode(unpacker.unpackString());
             }
         },
         INT {
--- a/transport/src/main/java/org/geraniumford/transport/log/LogEvent.java
+++ b/transport/src/main/java/org/geraniumford/transport/log/LogEvent.java
@@ -2,11 +2,13 @@
 
 import static java.util.Objects.requireNonNull;
 
+import java.util.HexFormat;
 import org.tinylog.Logger;
 
 /** One log line of key=value pairs. Values with special characters are quoted, so that the line can be parsed. */
 public final class LogEvent {
     private static final String PLAIN_PUNCTUATION = "_.:/@+-";
+    private static final HexFormat HEX = HexFormat.of();
 
     /** How much of a text that others wrote a line holds. */
     private static final int MAX_FOREIGN_CHARACTERS = 300;
@@ -108,9 +110,32 @@
     }
 
     private static String escaped(String value) {
-        return value.replace("\\", "\\\\")
-                .replace("\"", "\\\"")
-                .replace("\n", "\\n")
-                .replace("\r", "\\r");
+        StringBuilder text = new StringBuilder(value.length());
+        value.codePoints().forEach(character -> appendEscaped(character, text));
+        return text.toString();
+    }
+
+    /** Appends a character, or an escape if it would end the line or not reach the log file as it is. */
+    private static void appendEscaped(int character, StringBuilder text) {
+        switch (character) {
+            case '\\', '"' -> text.append('\\').append((char) character);
+            case '\n' -> text.append("\\n");
+            case '\r' -> text.append("\\r");
+            default -> {
+                if (isPrinted(character)) {
+                    text.appendCodePoint(character);
+                } else {
+                    text.append("\\u").append(HEX.toHexDigits((char) character));
+                }
+            }
+        }
+    }
+
+    private static boolean isPrinted(int character) {
+        return switch (Character.getType(character)) {
+            case Character.CONTROL, Character.SURROGATE, Character.LINE_SEPARATOR, Character.PARAGRAPH_SEPARATOR ->
+                false;
+            default -> true;
+        };
     }
 }
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -36,6 +36,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class FrameCodecTest {
     private static final AttemptId ID = new AttemptId("r-1", 2);
@@ -45,6 +46,35 @@
     private static final Message LIMIT_GRANT =
             new Message.LimitGrant("customer-with-a-long-name", 100_000, 1_000_000, 64, 5_000_000, 2_000_000);
 
+    // -- names that others choose
+
+    /** Guards against a message that cannot be sent, or not be read, because of a name in it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                " ",
+                "a\nb",
+                "\u0000",
+                "\u12cb\u120a",
+                "\ud83d\ude00",
+                "\ud800",
+                "\ude00a",
+                "\uffff",
+                "\uffff%0020"
+            })
+    void shouldCarryGossipWhateverNamesItHolds(String name) throws Exception {
+        Message.Gossip gossip = new Message.Gossip(
+                new ServerGossip(false, List.of(new ServerLoad(name, 1, 2, 3)), List.of(), List.of(), List.of()),
+                List.of(new PublishedWeights(name, 2, 3, 4, true)),
+                new LeaseSnapshot(17, name),
+                new CacheGossip(List.of(), List.of()),
+                new QuarantineGossip(List.of(), List.of()),
+                List.of(new CustomerUse(name, 1, 2, true, 3)));
+        Envelope read = FrameCodec.decode(FrameCodec.encode(new Envelope(1, 1, 1, gossip)));
+        assertThat(read.message()).isEqualTo(gossip);
+    }
+
     // -- coding
 
     static List<Message> messages() {
--- a/transport/src/test/java/org/geraniumford/transport/log/LogEventTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/log/LogEventTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.regex.Matcher;
@@ -18,7 +19,9 @@
                 .with("first", first)
                 .with("second", second)
                 .toString();
-        assertThat(line).doesNotContain("\n", "\r");
+        assertThat(line).doesNotContainPattern("[\\p{Cntrl}\\u0080-\\u009f\u2028\u2029]");
+        assertThat(new String(line.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8))
+                .isEqualTo(line);
         assertThat(parse(line)).isEqualTo(Map.of("event", "tested", "first", first, "second", second));
     }
 
@@ -32,9 +35,14 @@
     }
 
     private static String unescaped(String text) {
-        return Pattern.compile("\\\\(.)", Pattern.DOTALL).matcher(text).replaceAll(escape -> switch (escape.group(1)) {
-            case "n" -> "\n";
-            case "r" -> "\r";
+        Pattern escapes = Pattern.compile("\\\\(u[0-9a-f]{4}|.)", Pattern.DOTALL);
+        return escapes.matcher(text).replaceAll(escape -> switch (escape.group(1)
+                .charAt(0)) {
+            case 'n' -> "\n";
+            case 'r' -> "\r";
+            case 'u' ->
+                Matcher.quoteReplacement(
+                        String.valueOf((char) Integer.parseInt(escape.group(1).substring(1), 16)));
             default -> Matcher.quoteReplacement(escape.group(1));
         });
     }
