--- a/core/src/main/java/org/geraniumford/core/service/RoutingTable.java
+++ b/core/src/main/java/org/geraniumford/core/service/RoutingTable.java
@@ -19,6 +19,8 @@
     private final Map<String, ServiceDefinition> services;
     private final Map<String, ApiCustomer> customersByKey;
     private final List<ApiCustomer> customers;
+    private final Map<String, SharingGroup> groupsOfIsolated;
+    private final SharingGroup sharedGroup;
     private final CallerLimits limits;
 
     private RoutingTable(
@@ -34,6 +36,12 @@
         this.customersByKey = customersByKey;
         this.limits = limits;
         this.customers = customers;
+        this.groupsOfIsolated = customers.stream()
+                .filter(ApiCustomer::isolated)
+                .map(ApiCustomer::name)
+                .distinct()
+                .collect(Collectors.toMap(Function.identity(), SharingGroup::ofIsolated));
+        this.sharedGroup = SharingGroup.ofAllExcept(groupsOfIsolated.keySet());
     }
 
     // -- construction
@@ -121,6 +129,16 @@
         return customers;
     }
 
+    /**
+     * Returns the customers with which a customer may share cached prompt segments under this configuration.
+     *
+     * @param customer the name of the customer; empty for a caller without one
+     * @return the customer alone if it is isolated, else all that are not
+     */
+    public SharingGroup sharingGroup(Optional<String> customer) {
+        return customer.map(groupsOfIsolated::get).orElse(sharedGroup);
+    }
+
     /**
      * Returns whether requests need an API key.
      *
--- a/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/EngineQueues.java
@@ -125,7 +125,7 @@
                 List.of(
                         new PromptSegment("shared-" + kind.name(), kind.sharedTokens()),
                         new PromptSegment("own-" + ids, kind.uncachedTokens())));
-        ScopedPrompt scoped = ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), prompt);
+        ScopedPrompt scoped = ScopedPrompt.of(new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"), prompt);
         ServerQuery query = new ServerQuery(
                 "service",
                 "here",
--- a/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/OverloadPolicyTest.java
@@ -42,7 +42,7 @@
                 "service",
                 "here",
                 1000,
-                prompt.map(spec -> ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), spec)),
+                prompt.map(spec -> ScopedPrompt.of(new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"), spec)),
                 1,
                 0,
                 OptionalLong.empty(),
--- a/core/src/test/java/org/geraniumford/core/fleet/PrefixProvidersTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/PrefixProvidersTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumford.core.prompt.PromptSegment;
 import org.geraniumford.core.prompt.PromptSpec;
@@ -26,7 +27,7 @@
 
     private static ScopedPrompt prompt(String session) {
         return ScopedPrompt.of(
-                new SegmentScope(SharingGroup.shared(), "1"),
+                new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"),
                 new PromptSpec(
                         MODEL,
                         9190,
--- a/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/SendDecisionTest.java
@@ -44,7 +44,8 @@
                 "here",
                 100,
                 Optional.of(ScopedPrompt.of(
-                        new SegmentScope(SharingGroup.shared(), "1"), new PromptSpec("model", 10, 10, List.of()))),
+                        new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"),
+                        new PromptSpec("model", 10, 10, List.of()))),
                 2,
                 2,
                 OptionalLong.empty(),
--- a/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
+++ b/core/src/test/java/org/geraniumford/core/fleet/ServerChooserTest.java
@@ -24,7 +24,8 @@
     private static final Duration TIME_LIMIT = Duration.ofMillis(800);
     private static final PromptSpec PROMPT = new PromptSpec(
             "model", 9000, 100, List.of(new PromptSegment("house", 6000), new PromptSegment("own", 3000)));
-    private static final ScopedPrompt SCOPED = ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), PROMPT);
+    private static final ScopedPrompt SCOPED =
+            ScopedPrompt.of(new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"), PROMPT);
 
     private final ServerDirectory directory =
             ServerDirectory.empty(name -> Optional.of(new EngineSpec(64, 100_000, false)));
@@ -282,7 +283,9 @@
         assertThat(chosenId(query(Set.of(), 3))).isEqualTo("near-2");
         PromptSpec longResponse = new PromptSpec("model", 9000, 400, PROMPT.segments());
         assertThat(chosenId(query(
-                        ScopedPrompt.of(new SegmentScope(SharingGroup.shared(), "1"), longResponse), 3, Set.of())))
+                        ScopedPrompt.of(new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"), longResponse),
+                        3,
+                        Set.of())))
                 .isEqualTo("near-1");
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AdmittedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AdmittedRequest.java
@@ -7,6 +7,7 @@
 import org.geraniumford.core.prompt.PromptSpec;
 import org.geraniumford.core.service.ApiCustomer;
 import org.geraniumford.core.service.Route;
+import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.SharingGroup;
 
 /**
@@ -54,10 +55,15 @@
         return request.prompt().map(PromptSpec::totalTokens).orElse(0L);
     }
 
-    /** Returns the customers with which the request's customer may share cached prompt segments. */
-    SharingGroup sharingGroup() {
+    /**
+     * Returns the customers with which the request's customer may share cached prompt segments. The customer is alone
+     * if it was isolated when the request was admitted, or has become so since.
+     *
+     * @param inForce the configuration in force, which may be newer than the one that admitted the request
+     */
+    SharingGroup sharingGroup(RoutingTable inForce) {
         return customer.filter(ApiCustomer::isolated)
                 .map(isolated -> SharingGroup.ofIsolated(isolated.name()))
-                .orElseGet(SharingGroup::shared);
+                .orElseGet(() -> inForce.sharingGroup(customer.map(ApiCustomer::name)));
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -23,6 +23,7 @@
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RouteKind;
 import org.geraniumford.core.service.ServiceDefinition;
+import org.geraniumford.core.service.SharingGroup;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 
@@ -33,6 +34,11 @@
     private final SuspectRequest suspect;
     private final int requestBytes;
     private final Supplier<Duration> timeLeft;
+
+    /** The customers that may share the segments of the prompt; empty before it was asked. */
+    private Optional<SharingGroup> sharingGroup = Optional.empty();
+
+    /** The keys of the prompt's segments for that group of customers. */
     private final Map<Integer, ScopedPrompt> scopedPromptsByWeights = new HashMap<>();
 
     /**
@@ -224,12 +230,23 @@
     }
 
     private ScopedPrompt scopedPrompt(PromptSpec prompt, int weights) {
+        followSharingGroup();
         return scopedPromptsByWeights.computeIfAbsent(
                 weights, version -> ScopedPrompt.of(scope(String.valueOf(version)), prompt));
     }
 
+    /** Forgets the keys of the prompt's segments when a configuration has changed who may share them. */
+    private void followSharingGroup() {
+        Optional<SharingGroup> current = gateway.state().routingTable().map(admitted::sharingGroup);
+        if (!current.equals(sharingGroup)) {
+            sharingGroup = current;
+            scopedPromptsByWeights.clear();
+        }
+    }
+
     private SegmentScope scope(String weights) {
-        return new SegmentScope(admitted.sharingGroup(), weights);
+        followSharingGroup();
+        return new SegmentScope(sharingGroup.orElseThrow(), weights);
     }
 
     // -- estimates about a server
@@ -326,8 +343,9 @@
     }
 
     private void recordSavedSegments(PromptSpec prompt, EngineDispatch engine) {
-        ScopedPrompt scoped = scopedPrompt(prompt, engine.weightsVersion().orElse(0));
-        engine.saveTo()
-                .ifPresent(address -> cacheStores().recordSaved(address, scoped.sharedSegments(), System.nanoTime()));
+        engine.saveTo().ifPresent(address -> {
+            ScopedPrompt scoped = ScopedPrompt.of(engine.scope(), prompt);
+            cacheStores().recordSaved(address, scoped.sharedSegments(), System.nanoTime());
+        });
     }
 }
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.SegmentScope;
 import org.geraniumford.core.limits.QuotaTolerance;
@@ -73,7 +74,7 @@
                 Optional.empty(),
                 1,
                 prompt.map(spec -> new EngineDispatch(
-                        new SegmentScope(SharingGroup.shared(), "1"),
+                        new SegmentScope(SharingGroup.ofAllExcept(Set.of()), "1"),
                         version,
                         Optional.empty(),
                         Optional.empty(),
