--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -3,6 +3,7 @@
 import static java.util.Objects.requireNonNull;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
@@ -40,13 +42,7 @@
 
     private boolean headRequest;
 
-    /** How many responses were ignored since the request was sent. */
-    private int ignoredResponses;
-
-    private long skippedBytes;
-
-    /** Whether the response that is being read is discarded because it belongs to an earlier request. */
-    private boolean skipping;
+    private final SkippedResponses skipped = SkippedResponses.empty();
 
     /** Whether the body of the response to the current request is being read. */
     private boolean receiving;
@@ -61,6 +57,15 @@
     /** Whether the response is complete, while bytes that arrived with it may still have to be read. */
     private boolean finished;
 
+    /** Done once the request was handed to the operating system whole, or cannot be. */
+    private ChannelFuture requestWritten;
+
+    /** Whether the request has a body, which the server may leave unread. */
+    private boolean requestHasBody;
+
+    /** Whether the server has ended a response without a length, and may be resetting the connection as well. */
+    private boolean endUnconfirmed;
+
     private final ResponseSurplus surplus;
 
     /** The reason that the listener receives if the connection ends before the response is complete. */
@@ -125,16 +130,20 @@
         listener = requireNonNull(responseListener, "responseListener is null");
         headRequest = request.method().equals(HttpMethod.HEAD);
         finished = false;
-        ignoredResponses = 0;
-        skippedBytes = 0;
+        endUnconfirmed = false;
+        requestHasBody = request.content().isReadable();
+        skipped.clear();
         surplus.clear();
         decoder().ifPresent(StrictResponseDecoder::resume);
-        channel.writeAndFlush(request).addListener(written -> {
-            if (!written.isSuccess()) {
-                failure = "write failed: " + written.cause().getMessage();
-                channel.close();
-            }
-        });
+        requestWritten = channel.writeAndFlush(request);
+        requestWritten.addListener(this::handleWritten);
+    }
+
+    private void handleWritten(Future<? super Void> written) {
+        if (!written.isSuccess()) {
+            failure = "write failed: " + written.cause().getMessage();
+            channel.close();
+        }
     }
 
     /** Closes the connection. The listener is not called any more. */
@@ -177,7 +186,7 @@
         if (message instanceof HttpResponse head) {
             readHead(head);
         }
-        if (message instanceof HttpContent chunk && (receiving || skipping)) {
+        if (message instanceof HttpContent chunk && (receiving || skipped.isWithinBody())) {
             readContent(chunk);
         }
     }
@@ -189,11 +198,12 @@
         }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             listener.interim(head);
-            countIgnoredResponse();
+            skipped.skipInterim().ifPresent(this::fail);
             return;
         }
         if (!listener.accepts(head)) {
-            skip(head);
+            reusable = false;
+            skipped.skip(head).ifPresent(this::fail);
             return;
         }
         receiving = true;
@@ -203,27 +213,9 @@
         listener.head(head);
     }
 
-    /** Skips a response to another request, or gives up if nothing says where the next one begins. */
-    private void skip(HttpResponse other) {
-        if (ResponseFraming.of(other).isEndMarked()) {
-            skipping = true;
-            reusable = false;
-            countIgnoredResponse();
-        } else {
-            fail("an answer to another request has no length");
-        }
-    }
-
-    private void countIgnoredResponse() {
-        ignoredResponses++;
-        if (ignoredResponses > ResponseLimits.MAX_IGNORED_RESPONSES) {
-            fail("more than " + ResponseLimits.MAX_IGNORED_RESPONSES + " other answers first");
-        }
-    }
-
     private void readContent(HttpContent chunk) {
-        if (skipping) {
-            skip(chunk);
+        if (skipped.isWithinBody()) {
+            skipped.skip(chunk).ifPresent(this::fail);
             return;
         }
         if (chunk.content().isReadable()) {
@@ -231,7 +223,8 @@
         }
         if (chunk instanceof LastHttpContent && listener != null && endsInOrder()) {
             receiving = false;
-            finished = true;
+            endUnconfirmed = !framing.isEndMarked() && requestHasBody;
+            finished = !endUnconfirmed;
             decoder().ifPresent(StrictResponseDecoder::pause);
         }
     }
@@ -273,20 +266,13 @@
     /**
      * Returns whether the end that the decoder reports is one that the server sent. The decoder also ends a response
      * without a length when its connection is closed by a reset, a failed write or this process; only after the end of
-     * the server's bytes is the connection still active then, because half-closed connections are allowed.
+     * the server's bytes is the connection still active then, because half-closed connections are allowed. Whether the
+     * server also resets the connection is then still to come.
      */
     private boolean endsInOrder() {
         return framing.isEndMarked() || channel.isActive();
     }
 
-    private void skip(HttpContent chunk) {
-        skipping = !(chunk instanceof LastHttpContent);
-        skippedBytes += chunk.content().readableBytes();
-        if (skippedBytes > ResponseLimits.MAX_BUFFERED_BYTES) {
-            fail("an answer to another request exceeds " + ResponseLimits.MAX_BUFFERED_BYTES + " bytes");
-        }
-    }
-
     private void updateKeepAlive(HttpResponse head) {
         String value = head.headers().get("Keep-Alive");
         if (value == null) {
@@ -314,7 +300,7 @@
             return;
         }
         finished = false;
-        if (reusable && channel.isActive()) {
+        if (reusable && channel.isActive() && requestWritten.isSuccess()) {
             channel.config().setAutoRead(true);
             idleSinceNanos = System.nanoTime();
             idleListener.accept(this);
@@ -346,13 +332,28 @@
     /** Closes the connection after the end of the server's bytes, which the decoder has handled before. */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof ChannelInputShutdownEvent) {
-            if (finished && listener != null) {
-                passSurplusOn();
-                endResponse();
-            }
-            channel.close();
+        if (!(event instanceof ChannelInputShutdownEvent)) {
+            return;
+        }
+        if (endUnconfirmed) {
+            ResetProbe.of(channel, requestWritten).start(this::endConfirmed, this::handleReset);
+            return;
+        }
+        if (finished && listener != null) {
+            passSurplusOn();
+            endResponse();
         }
+        channel.close();
+    }
+
+    private void endConfirmed() {
+        endResponse();
+        channel.close();
+    }
+
+    private void handleReset(Throwable cause) {
+        failure = "reset after the end: " + cause.getMessage();
+        channel.close();
     }
 
     @Override
