--- a/core/src/main/java/org/geraniumford/core/forward/ForwardMachine.java
+++ b/core/src/main/java/org/geraniumford/core/forward/ForwardMachine.java
@@ -22,7 +22,6 @@
     private int notRunAttempts;
     private int possiblyRunAttempts;
     private boolean responseStarted;
-    private boolean backupAvailable;
 
     private ForwardMachine(boolean idempotent, boolean resumable, int maxAttempts) {
         this.idempotent = idempotent;
@@ -79,21 +78,18 @@
         responseStarted = true;
     }
 
-    /** Records that another server will hold a backup of the attempt that is about to start. */
-    public void markBackupAvailable() {
-        backupAvailable = true;
-    }
-
     /**
      * Decides the next step after an attempt that ended without a usable response.
      *
      * @param failure how the attempt ended
      * @param hasTimeLeft whether a further attempt can end before the deadline
+     * @param backupAvailable whether another server holds a backup of this attempt
      * @param retryBudget consumes one retry of the retry budget and returns whether one was available; called only if a
      *     retry is otherwise allowed
      * @return the next step
      */
-    public NextStep handleAttemptFailure(AttemptFailure failure, boolean hasTimeLeft, BooleanSupplier retryBudget) {
+    public NextStep handleAttemptFailure(
+            AttemptFailure failure, boolean hasTimeLeft, boolean backupAvailable, BooleanSupplier retryBudget) {
         requireNonNull(failure, "failure is null");
         if (failure.verdict() == Verdict.NOT_RUN) {
             notRunAttempts++;
@@ -105,7 +101,6 @@
                 && hasTimeLeft
                 && failure instanceof AttemptFailure.Broken
                 && retryBudget.getAsBoolean()) {
-            backupAvailable = false;
             return NextStep.CONTINUE_AT_COPY;
         }
         boolean retryAllowed = hasTimeLeft && isRetryAllowed(failure) && hasAttemptsLeft();
--- a/core/src/test/java/org/geraniumford/core/forward/ForwardMachineTest.java
+++ b/core/src/test/java/org/geraniumford/core/forward/ForwardMachineTest.java
@@ -37,7 +37,11 @@
 
     /** Ends an attempt while time and retry budget are left. */
     private static NextStep endAttempt(ForwardMachine machine, AttemptFailure failure) {
-        return machine.handleAttemptFailure(failure, true, () -> true);
+        return machine.handleAttemptFailure(failure, true, false, () -> true);
+    }
+
+    private static NextStep endBackedUpAttempt(ForwardMachine machine, AttemptFailure failure) {
+        return machine.handleAttemptFailure(failure, true, true, () -> true);
     }
 
     @Test
@@ -66,9 +70,8 @@
                 .isEqualTo(NextStep.FAIL);
         assertThat(endAttempt(machine(RouteKind.STREAMING, true, 2), WITHDRAWN)).isEqualTo(NextStep.TRY_ELSEWHERE);
         ForwardMachine backedUp = machine(RouteKind.STREAMING, false, 1);
-        backedUp.markBackupAvailable();
         backedUp.markResponseStarted();
-        assertThat(endAttempt(backedUp, WITHDRAWN)).isEqualTo(NextStep.CUT_OFF);
+        assertThat(endBackedUpAttempt(backedUp, WITHDRAWN)).isEqualTo(NextStep.CUT_OFF);
     }
 
     @Test
@@ -80,16 +83,17 @@
 
     @Test
     void shouldRefuseOnlyWhenNoAttemptMayHaveRun() {
-        assertThat(machine(RouteKind.UNSAFE, false, 1).handleAttemptFailure(REJECTED, true, () -> false))
+        assertThat(machine(RouteKind.UNSAFE, false, 1).handleAttemptFailure(REJECTED, true, false, () -> false))
                 .isEqualTo(NextStep.REFUSE);
         ForwardMachine machine = machine(RouteKind.SAFE, false, 3);
         endAttempt(machine, BROKEN);
-        assertThat(machine.handleAttemptFailure(REJECTED, true, () -> false)).isEqualTo(NextStep.FAIL);
+        assertThat(machine.handleAttemptFailure(REJECTED, true, false, () -> false))
+                .isEqualTo(NextStep.FAIL);
     }
 
     @Test
     void shouldRetryWithoutTheRetryBudgetWhenNothingWasSent() {
-        assertThat(machine(RouteKind.SAFE, false, 2).handleAttemptFailure(UNREACHABLE, true, () -> false))
+        assertThat(machine(RouteKind.SAFE, false, 2).handleAttemptFailure(UNREACHABLE, true, false, () -> false))
                 .isEqualTo(NextStep.TRY_ELSEWHERE);
     }
 
@@ -108,28 +112,27 @@
         ForwardMachine machine = machine(RouteKind.STREAMING, true, 3);
         machine.markResponseStarted();
         endAttempt(machine, BROKEN);
-        assertThat(machine.handleAttemptFailure(REJECTED, true, () -> false)).isEqualTo(NextStep.CUT_OFF);
+        assertThat(machine.handleAttemptFailure(REJECTED, true, false, () -> false))
+                .isEqualTo(NextStep.CUT_OFF);
     }
 
     @Test
     void shouldResumeOnceAtTheBackupWhenAStreamOfANonResumableRouteBreaks() {
         ForwardMachine machine = machine(RouteKind.STREAMING, false, 1);
-        machine.markBackupAvailable();
         machine.markResponseStarted();
-        assertThat(endAttempt(machine, BROKEN)).isEqualTo(NextStep.CONTINUE_AT_COPY);
+        assertThat(endBackedUpAttempt(machine, BROKEN)).isEqualTo(NextStep.CONTINUE_AT_COPY);
         assertThat(endAttempt(machine, BROKEN)).isEqualTo(NextStep.CUT_OFF);
     }
 
     @Test
     void shouldNotUseTheBackupWhenNoEventWasDelivered() {
         ForwardMachine machine = machine(RouteKind.STREAMING, false, 1);
-        machine.markBackupAvailable();
-        assertThat(endAttempt(machine, BROKEN)).isEqualTo(NextStep.FAIL);
+        assertThat(endBackedUpAttempt(machine, BROKEN)).isEqualTo(NextStep.FAIL);
     }
 
     @Test
     void shouldNotRetryWhenNoTimeIsLeft() {
-        assertThat(machine(RouteKind.SAFE, false, 3).handleAttemptFailure(BROKEN, false, () -> true))
+        assertThat(machine(RouteKind.SAFE, false, 3).handleAttemptFailure(BROKEN, false, false, () -> true))
                 .isEqualTo(NextStep.FAIL);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -84,7 +84,7 @@
 
     /** Returns the buffered response, whose body is then no longer released by this attempt. */
     FullHttpResponse takeFullResponse() {
-        return request.fullResponse(head, body.take());
+        return request.gateway().protocol().forwardResponse(head, body.take());
     }
 
     // -- commands
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -1,7 +1,6 @@
 package org.geraniumford.daemon.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -9,10 +8,8 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.geraniumford.core.fleet.SendDecision;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
 import org.geraniumford.core.forward.ForwardMachine;
@@ -42,13 +39,13 @@
     private final CustomerCharge charge;
     private final Set<String> attemptedServers = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
-    private Optional<ServerState> backupServer = Optional.empty();
-    /** The version of the weights with which the KV memory in the backup is computed. */
-    private OptionalInt backupWeightsVersion = OptionalInt.empty();
 
     /** The attempt in progress; null if there is none. */
     private Attempt attempt;
 
+    /** The backup of the last attempt's memory; empty if none is kept. */
+    private Optional<MemoryBackup> backup = Optional.empty();
+
     private final ResponseTimes times;
     private boolean finished;
     /** Whether a server rejected the request for lack of room. */
@@ -154,9 +151,8 @@
         ServerState server = chosen.get();
         attemptedServers.add(server.server().id());
         long prefillTokens = planner.prefillTokens(server);
-        backupServer = planner.chooseBackupServer(server, attemptedServers);
-        backupServer.ifPresent(backup -> machine.markBackupAvailable());
-        backupWeightsVersion = planner.weightsVersion(server);
+        backup = planner.chooseBackupServer(server, attemptedServers)
+                .map(holder -> new MemoryBackup(holder, planner.weightsVersion(server)));
         startAttempt(server, planDispatch(server, Optional.empty()), prefillTokens);
     }
 
@@ -173,7 +169,8 @@
     }
 
     private Dispatch planDispatch(ServerState server, Optional<String> resumeFrom) {
-        return planner.planDispatch(server, timeLeft(), stream.lastEventId(), backupServer, resumeFrom);
+        return planner.planDispatch(
+                server, timeLeft(), stream.lastEventId(), backup.map(MemoryBackup::server), resumeFrom);
     }
 
     private void startAttempt(ServerState server, Dispatch dispatch, long prefillTokens) {
@@ -205,23 +202,17 @@
         return planner.beginAttempt(machine.responseStarted());
     }
 
-    /**
-     * Resumes the stream at the engine that holds the backup. Aborts the stream if that engine may not be sent the
-     * request now, or has loaded other weights since, because they make the KV memory useless.
-     */
-    private void resumeAtBackup(ServerState backup) {
-        if (!planner.weightsVersion(backup).equals(backupWeightsVersion)) {
-            abortStream("copy_of_other_weights");
+    /** Resumes the stream at the engine that holds the backup; aborts the stream if that cannot be. */
+    private void resumeAtBackup(MemoryBackup used) {
+        Optional<String> obstacle = used.obstacle(planner);
+        if (obstacle.isPresent()) {
+            abortStream(obstacle.get());
             return;
         }
-        SendDecision decision = planner.decideResumptionAt(backup);
-        if (decision.forbidsSending()) {
-            abortStream("copy_" + decision.label());
-            return;
-        }
-        attemptedServers.add(backup.server().id());
-        backupServer = Optional.empty();
-        startAttempt(backup, planDispatch(backup, Optional.of(backup.server().address())), 0);
+        ServerState holder = used.server();
+        attemptedServers.add(holder.server().id());
+        backup = Optional.empty();
+        startAttempt(holder, planDispatch(holder, Optional.of(holder.server().address())), 0);
     }
 
     private void handleNoServer() {
@@ -239,15 +230,35 @@
 
     // -- outcomes of an attempt
 
+    /** Decides what follows an attempt without a usable response. */
     void handleAttemptEnd(Attempt ended, AttemptFailure failure, Reason reason) {
+        endIfThrown(() -> continueAfter(ended, failure, reason));
+    }
+
+    /** Runs a step of this request, and ends the request at once if it throws, so that its caller does not wait. */
+    private void endIfThrown(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LogEvent.of("request_failed")
+                    .with("request", admitted.request().id())
+                    .error(e);
+            if (!finished) {
+                abortAttempt();
+                abortStream("defect");
+            }
+        }
+    }
+
+    private void continueAfter(Attempt ended, AttemptFailure failure, Reason reason) {
         attempt = null;
         rejected |= reason == Reason.QUEUE_FULL;
         charge.endAttempt(failure.verdict());
         boolean mayRetry = timeLeft().compareTo(MIN_ATTEMPT_TIME) > 0
                 && !(decide() instanceof QuarantineDecision.Held)
                 && charge.allowsRetry(failure.verdict());
-        NextStep step =
-                machine.handleAttemptFailure(failure, mayRetry, () -> gateway.tryAcquireRetry(admitted.service()));
+        NextStep step = machine.handleAttemptFailure(
+                failure, mayRetry, backup.isPresent(), () -> gateway.tryAcquireRetry(admitted.service()));
         LogEvent.of("attempt_ended")
                 .with("request", admitted.request().id())
                 .with("server", ended.server().server().id())
@@ -260,12 +271,12 @@
             case TRY_ELSEWHERE, RESUME_ELSEWHERE -> {
                 gateway.metrics().countRetry(reason);
                 stream.discardPartialEvent();
-                gateway.loop().execute(this::retry);
+                gateway.loop().execute(() -> endIfThrown(this::retry));
             }
             case CONTINUE_AT_COPY -> {
                 gateway.metrics().countRetry(reason);
                 stream.discardPartialEvent();
-                resumeAtBackup(backupServer.orElseThrow());
+                resumeAtBackup(backup.orElseThrow());
             }
             case PASS_ERROR_ON -> forwardResponse(ended.takeFullResponse());
             case REFUSE ->
@@ -282,13 +293,6 @@
         times.recordEnd();
     }
 
-    FullHttpResponse fullResponse(HttpResponse head, ByteBuf body) {
-        HttpResponse forwarded = gateway.protocol().forwardHead(head);
-        FullHttpResponse response = new DefaultFullHttpResponse(head.protocolVersion(), head.status(), body);
-        response.headers().set(forwarded.headers());
-        return response;
-    }
-
     /** Forwards the events that a chunk completes, and returns whether it completes any. */
     boolean forwardStreamChunk(HttpResponse head, ByteBuf chunk) {
         if (!stream.forward(head, chunk)) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayProtocol.java
@@ -1,5 +1,7 @@
 package org.geraniumford.daemon.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
@@ -100,6 +102,19 @@
      */
     HttpResponse forwardHead(HttpResponse head);
 
+    /**
+     * Returns a backend server's complete response as it is sent to the caller.
+     *
+     * @param head the status and header fields that the backend server sent
+     * @param body the body, which the returned response releases
+     * @return a new response
+     */
+    default FullHttpResponse forwardResponse(HttpResponse head, ByteBuf body) {
+        FullHttpResponse response = new DefaultFullHttpResponse(head.protocolVersion(), head.status(), body);
+        response.headers().set(forwardHead(head).headers());
+        return response;
+    }
+
     /**
      * Encodes a refusal or failure of the router as a response.
      *
