--- a/transport/src/main/java/org/geraniumford/transport/http/HeaderText.java
+++ b/transport/src/main/java/org/geraniumford/transport/http/HeaderText.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.geraniumford.core.text.LineField;
 
 /**
@@ -59,16 +60,24 @@
      * @return the text in UTF-8, or the value itself if its bytes are not UTF-8
      */
     public static String decode(String value) {
+        return decodeUtf8(value).orElse(value);
+    }
+
+    /**
+     * Returns the text of a field or request target that others wrote.
+     *
+     * @param value the value as it was read, a character for each byte
+     * @return the text; empty if the bytes are not UTF-8
+     */
+    public static Optional<String> decodeUtf8(String value) {
         if (isAscii(value)) {
-            return value;
+            return Optional.of(value);
         }
         try {
-            return StandardCharsets.UTF_8
-                    .newDecoder()
-                    .decode(ByteBuffer.wrap(value.getBytes(StandardCharsets.ISO_8859_1)))
-                    .toString();
+            ByteBuffer bytes = ByteBuffer.wrap(value.getBytes(StandardCharsets.ISO_8859_1));
+            return Optional.of(StandardCharsets.UTF_8.newDecoder().decode(bytes).toString());
         } catch (CharacterCodingException e) {
-            return value;
+            return Optional.empty();
         }
     }
 }
