--- a/transport/src/test/java/org/geraniumford/transport/http/HeaderTextTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/http/HeaderTextTest.java
@@ -36,7 +36,7 @@
                 " a",
                 "a ",
                 "a\n",
-                "a\r\nX-Key: 1",
+                "a\r\nName: 1",
                 "?",
                 "\u1266",
                 "\u12e8",
