--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -207,6 +207,7 @@
     }
 
     private ServerQuery query(Set<String> attemptedServers, boolean suspected) {
+        followSharingGroup();
         Optional<PromptSpec> prompt = admitted.request().prompt();
         int newest =
                 prompt.map(spec -> gateway.state().newestWeights(spec.model())).orElse(0);
@@ -230,12 +231,14 @@
     }
 
     private ScopedPrompt scopedPrompt(PromptSpec prompt, int weights) {
-        followSharingGroup();
         return scopedPromptsByWeights.computeIfAbsent(
                 weights, version -> ScopedPrompt.of(scope(String.valueOf(version)), prompt));
     }
 
-    /** Forgets the keys of the prompt's segments when a configuration has changed who may share them. */
+    /**
+     * Asks the configuration in force who may share the prompt's segments, and forgets their keys if that has changed.
+     * Called once for each choice of a server and for each dispatch.
+     */
     private void followSharingGroup() {
         Optional<SharingGroup> current = gateway.state().routingTable().map(admitted::sharingGroup);
         if (!current.equals(sharingGroup)) {
@@ -245,7 +248,6 @@
     }
 
     private SegmentScope scope(String weights) {
-        followSharingGroup();
         return new SegmentScope(sharingGroup.orElseThrow(), weights);
     }
 
@@ -315,6 +317,7 @@
 
     private EngineDispatch planEngineDispatch(
             ServerState server, PromptSpec prompt, Optional<ServerState> backupServer, Optional<String> resumeFrom) {
+        followSharingGroup();
         OptionalInt weights = server.weightsVersion(prompt.model());
         if (weights.isEmpty()) {
             // The version is unknown: segments are neither fetched nor saved, and the cache scope is this engine alone.
--- a/transport/src/main/java/org/geraniumford/transport/log/LogEvent.java
+++ b/transport/src/main/java/org/geraniumford/transport/log/LogEvent.java
@@ -10,6 +10,9 @@
     private static final String PLAIN_PUNCTUATION = "_.:/@+-";
     private static final HexFormat HEX = HexFormat.of();
 
+    /** DEL; all characters from here on are looked at one by one. */
+    private static final char FIRST_UNPRINTED_ASCII = 0x7f;
+
     /** How much of a text that others wrote a line holds. */
     private static final int MAX_FOREIGN_CHARACTERS = 300;
 
@@ -110,6 +113,21 @@
     }
 
     private static String escaped(String value) {
+        return needsNoEscape(value) ? value : withEscapes(value);
+    }
+
+    /** Returns whether a value holds only printable ASCII without quotes and backslashes, as nearly all do. */
+    private static boolean needsNoEscape(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char character = value.charAt(i);
+            if (character < ' ' || character >= FIRST_UNPRINTED_ASCII || character == '"' || character == '\\') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static String withEscapes(String value) {
         StringBuilder text = new StringBuilder(value.length());
         value.codePoints().forEach(character -> appendEscaped(character, text));
         return text.toString();
