--- a/core/src/main/java/org/geraniumford/core/verdict/Reason.java
+++ b/core/src/main/java/org/geraniumford/core/verdict/Reason.java
@@ -50,6 +50,8 @@
     SHUTTING_DOWN(503, true),
     /** No configuration has been accepted yet. */
     NO_CONFIGURATION(503, true),
+    /** The configuration does not allow the request, but may have been replaced since. */
+    CONFIGURATION_OUTDATED(503, true),
     /** The platform's table service or object store does not respond. */
     STORE_UNAVAILABLE(503, true),
     /** A ring buffer between two workers of this process is full. */
--- a/core/src/main/java/org/geraniumford/core/wire/Message.java
+++ b/core/src/main/java/org/geraniumford/core/wire/Message.java
@@ -10,9 +10,9 @@
 import org.geraniumford.core.prefix.Block;
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.quarantine.QuarantineGossip;
+import org.geraniumford.core.service.OperatorGossip;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.weights.LeaseSnapshot;
-import org.geraniumford.core.weights.PublishedWeights;
 
 /** A message between entries, sidecars and operators' commands. */
 public sealed interface Message {
@@ -376,7 +376,7 @@
      * The gossip that an entry sends to its peers several times a second.
      *
      * @param servers the sender's load on backend servers, their leaving and their limits
-     * @param weights the recently published versions of each model's weights
+     * @param operator what the sender knows of the operator's table
      * @param lease the weights lease as the sender last read, wrote or received it; empty if not renewed recently
      * @param cache the cache changes caused by the requests that the sender forwarded since its last gossip
      * @param quarantine the prompt segments under which engines ended
@@ -384,16 +384,15 @@
      */
     record Gossip(
             ServerGossip servers,
-            List<PublishedWeights> weights,
+            OperatorGossip operator,
             LeaseSnapshot lease,
             CacheGossip cache,
             QuarantineGossip quarantine,
             List<CustomerUse> customers)
             implements Message {
-        /** Copies the lists. */
+        /** Copies the list. */
         public Gossip {
             customers = List.copyOf(customers);
-            weights = List.copyOf(weights);
         }
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -37,6 +37,9 @@
     private static final Duration MAX_TICK_GAP = Duration.ofMillis(400);
 
     private static final long NANOS_PER_MILLI = 1_000_000;
+    /** When a request may come again that only a newer configuration could allow: once that had time to arrive. */
+    private static final Duration OUTDATED_RETRY_AFTER = Duration.ofMillis(300);
+
     private static final Duration DEFAULT_CALLER_TIMEOUT = Duration.ofSeconds(60);
 
     private final EventLoop loop;
@@ -167,14 +170,14 @@
         }
         Optional<Route> route = routingTable.get().route(request.host(), request.path());
         if (route.isEmpty()) {
-            refuse(exchange, request.id(), Refusal.notRun(Reason.UNKNOWN_PATH, "no route"));
+            refuseByConfiguration(exchange, request, Reason.UNKNOWN_PATH, "no route");
             return;
         }
         Optional<ApiCustomer> customer = request.apiKey().flatMap(routingTable.get()::customer);
         if (customer.isEmpty()
                 && routingTable.get().requiresApiKey()
                 && !route.get().anonymous()) {
-            refuse(exchange, request.id(), Refusal.notRun(Reason.UNAUTHENTICATED, "unknown key"));
+            refuseByConfiguration(exchange, request, Reason.UNAUTHENTICATED, "unknown key");
             return;
         }
         AdmittedRequest admitted = new AdmittedRequest(
@@ -202,13 +205,29 @@
         return callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
     }
 
+    /** Refuses a request for good only if the configuration that does not allow it is known to be the newest one. */
+    private void refuseByConfiguration(
+            CallerExchange exchange, InboundRequest request, Reason reason, String explanation) {
+        boolean certain = state.configurationFreshness().allowsRefusal(configurationVersion());
+        refuse(
+                exchange,
+                request.id(),
+                certain
+                        ? Refusal.notRun(reason, explanation)
+                        : Refusal.notRun(Reason.CONFIGURATION_OUTDATED, explanation)
+                                .withRetryAfter(OUTDATED_RETRY_AFTER));
+    }
+
+    private long configurationVersion() {
+        return state.routingTable().map(RoutingTable::version).orElse(0L);
+    }
+
     private void refuse(CallerExchange exchange, String requestId, Refusal refusal) {
         LogEvent.of("refused")
                 .with("request", requestId)
                 .with("reason", refusal.reason().label())
-                .with(
-                        "configuration",
-                        state.routingTable().map(RoutingTable::version).orElse(0L))
+                .with("configuration", configurationVersion())
+                .with("confirmed", state.configurationFreshness().describeAge(configurationVersion()))
                 .info();
         metrics.countRefusal(refusal.reason());
         respondRefusal(exchange, requestId, refusal);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -12,6 +12,8 @@
 import org.geraniumford.core.fleet.ServerSpeeds;
 import org.geraniumford.core.limits.QuotaTolerance;
 import org.geraniumford.core.service.CallerLimits;
+import org.geraniumford.core.service.ConfigurationFreshness;
+import org.geraniumford.core.service.FreshnessBounds;
 import org.geraniumford.core.service.RoutingTable;
 import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.time.SharedClock;
@@ -36,16 +38,19 @@
     private final CacheStores cacheStores = CacheStores.empty();
     private final CustomerLimits customerLimits;
     private final SharedClock clock;
+    private final ConfigurationFreshness configurationFreshness;
     private Runnable loadListener = () -> {};
     private RoutingTable routingTable;
     private Set<String> alivePeers = Set.of();
     private boolean serverListLoaded;
     private int entryCount = ASSUMED_ENTRIES;
 
-    private GatewayState(String failureDomain, SharedClock clock, QuotaTolerance quotaTolerance) {
+    private GatewayState(
+            String failureDomain, SharedClock clock, QuotaTolerance quotaTolerance, FreshnessBounds freshness) {
         this.failureDomain = failureDomain;
         this.customerLimits = CustomerLimits.of(quotaTolerance);
         this.clock = clock;
+        this.configurationFreshness = ConfigurationFreshness.of(clock, freshness);
     }
 
     // -- construction
@@ -65,13 +70,15 @@
      *
      * @param failureDomain the failure domain of this entry
      * @param quotaTolerance by how much the entries together may exceed a customer's limit
+     * @param freshness how long the entry goes on without a confirmation of its configuration
      * @return an empty state
      */
-    public static GatewayState of(String failureDomain, QuotaTolerance quotaTolerance) {
+    public static GatewayState of(String failureDomain, QuotaTolerance quotaTolerance, FreshnessBounds freshness) {
         return new GatewayState(
                 requireNonNull(failureDomain, "failureDomain is null"),
                 SharedClock.of(System::nanoTime),
-                quotaTolerance);
+                quotaTolerance,
+                freshness);
     }
 
     /**
@@ -85,7 +92,8 @@
         return new GatewayState(
                 requireNonNull(failureDomain, "failureDomain is null"),
                 requireNonNull(clock, "clock is null"),
-                QuotaTolerance.DEFAULT);
+                QuotaTolerance.DEFAULT,
+                FreshnessBounds.DEFAULT);
     }
 
     // -- queries
@@ -108,6 +116,15 @@
         return Optional.ofNullable(routingTable);
     }
 
+    /**
+     * Returns how recently the configuration in force was confirmed.
+     *
+     * @return the record, which is mutable
+     */
+    public ConfigurationFreshness configurationFreshness() {
+        return configurationFreshness;
+    }
+
     /**
      * Returns the limits in force on the requests and connections of callers.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -19,6 +19,7 @@
 import org.geraniumford.core.limits.CustomerAccounts.Extent;
 import org.geraniumford.core.limits.ServerLimitUse;
 import org.geraniumford.core.quarantine.SegmentQuarantine;
+import org.geraniumford.core.service.OperatorGossip;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
@@ -299,7 +300,8 @@
                         state.directory().leavingServers(),
                         limits,
                         state.serverSpeeds().gossip(complete, announcedNanos)),
-                state.weightsGossip(),
+                new OperatorGossip(
+                        state.configurationFreshness().gossip(configurations.version()), state.weightsGossip()),
                 lease,
                 new CacheGossip(
                         state.cacheStores().savedSegments().unannounced(),
@@ -365,6 +367,7 @@
         } else if (message instanceof Message.ConfigurationResponse response) {
             configurations.responded(peer, response);
         }
+        state.configurationFreshness().recordAnnounced(envelope.configurationVersion());
         configurations.versionHeard(link, envelope.configurationVersion());
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipReceiver.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipReceiver.java
@@ -30,9 +30,13 @@
         applyServers(peer, gossip, nowNanos);
         applyCache(gossip, nowNanos);
         Guarded.run("gossip of lease", () -> rollout.applyLeaseSnapshot(gossip.lease()));
+        Guarded.run(
+                "gossip of configuration",
+                () -> state.configurationFreshness()
+                        .recordGossip(gossip.operator().configuration()));
         Guarded.run(
                 "gossip of weights",
-                () -> gossip.weights().forEach(weights -> state.recordPublishedWeights(weights, peer)));
+                () -> gossip.operator().weights().forEach(weights -> state.recordPublishedWeights(weights, peer)));
         Guarded.run("gossip of quarantine", () -> quarantine.applyGossip(peer, gossip.quarantine(), nowNanos));
         Guarded.run(
                 "gossip of customers", () -> state.customerLimits().applyGossip(peer, incarnation, gossip.customers()));
--- a/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
@@ -76,11 +76,27 @@
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         }
         Call call = new Call(request, memory);
-        call.timer = loop.schedule(call::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        call.timer = loop.schedule(
+                () -> {
+                    call.timedOut();
+                    // What has made this connection silent may have done so with the others.
+                    pool.closeIdle(address);
+                },
+                timeout.toMillis(),
+                TimeUnit.MILLISECONDS);
         pool.acquire(address, call::connected, call::fail);
         return call.response;
     }
 
+    /**
+     * Closes the connections to a server on which no call is in progress.
+     *
+     * @param address the server, IP:PORT
+     */
+    public void closeIdleConnections(String address) {
+        pool.closeIdle(address);
+    }
+
     /** Closes the connections that have been idle for longer than their keep-alive timeout. */
     public void closeExpiredConnections() {
         pool.closeExpired();
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -23,6 +23,8 @@
 import org.geraniumford.core.prefix.CacheScope;
 import org.geraniumford.core.quarantine.QuarantineGossip;
 import org.geraniumford.core.quarantine.SuspectSegment;
+import org.geraniumford.core.service.ConfirmedConfiguration;
+import org.geraniumford.core.service.OperatorGossip;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
@@ -66,7 +68,8 @@
     void shouldCarryGossipWhateverNamesItHolds(String name) throws Exception {
         Message.Gossip gossip = new Message.Gossip(
                 new ServerGossip(false, List.of(new ServerLoad(name, 1, 2, 3)), List.of(), List.of(), List.of()),
-                List.of(new PublishedWeights(name, 2, 3, 4, true)),
+                new OperatorGossip(
+                        new ConfirmedConfiguration(7, 5, 1), List.of(new PublishedWeights(name, 2, 3, 4, true))),
                 new LeaseSnapshot(17, name),
                 new CacheGossip(List.of(), List.of()),
                 new QuarantineGossip(List.of(), List.of()),
@@ -88,7 +91,9 @@
                                 List.of(new ServerLimitUse(
                                         "server-3", 1_770_000_000_000L, 2_100_000, 86_400_000L, 7, -5)),
                                 List.of(new SpeedAnnouncement("server-1", 3, 30_900, 6170, 0, 7, 4250))),
-                        List.of(new PublishedWeights("model", 2, 86_400_000_000L, 1500, true)),
+                        new OperatorGossip(
+                                new ConfirmedConfiguration(9, 86_400_000_000L, 700),
+                                List.of(new PublishedWeights("model", 2, 86_400_000_000L, 1500, true))),
                         new LeaseSnapshot(17, "1 host-a 5"),
                         new CacheGossip(
                                 List.of(Long.MIN_VALUE, 5L),
@@ -154,7 +159,7 @@
                 .toList();
         Message.Gossip gossip = new Message.Gossip(
                 ServerGossip.empty(),
-                List.of(),
+                OperatorGossip.empty(),
                 LeaseSnapshot.empty(),
                 new CacheGossip(List.of(), List.of()),
                 new QuarantineGossip(suspects, List.of()),
