--- a/core/src/main/java/org/geraniumford/core/fleet/BackendServer.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/BackendServer.java
@@ -12,6 +12,7 @@
  * @param service the name of the service that the server belongs to
  * @param address the address that the server listens on, IP:PORT
  * @param failureDomain the server's failure domain
+ * @param softwareVersion the version of the server's software; empty if the listing names none
  * @param slots the maximum number of requests that the server processes concurrently
  * @param leaving whether the server takes no new work
  * @param weightsVersions the version of the weights that the server has loaded, by the name of the model
@@ -22,6 +23,7 @@
         String service,
         String address,
         String failureDomain,
+        String softwareVersion,
         int slots,
         boolean leaving,
         Map<String, Integer> weightsVersions) {
@@ -31,9 +33,36 @@
         requireNonNull(service, "service is null");
         requireNonNull(address, "address is null");
         requireNonNull(failureDomain, "failureDomain is null");
+        requireNonNull(softwareVersion, "softwareVersion is null");
         weightsVersions = Map.copyOf(weightsVersions);
     }
 
+    // -- construction
+
+    /**
+     * Creates a server whose listing names no version of its software.
+     *
+     * @param id as above
+     * @param incarnation as above
+     * @param service as above
+     * @param address as above
+     * @param failureDomain as above
+     * @param slots as above
+     * @param leaving as above
+     * @param weightsVersions as above
+     */
+    public BackendServer(
+            String id,
+            long incarnation,
+            String service,
+            String address,
+            String failureDomain,
+            int slots,
+            boolean leaving,
+            Map<String, Integer> weightsVersions) {
+        this(id, incarnation, service, address, failureDomain, "", slots, leaving, weightsVersions);
+    }
+
     // -- combinators
 
     /**
@@ -42,6 +71,7 @@
      * @return the same server, taking no new work
      */
     public BackendServer asLeaving() {
-        return new BackendServer(id, incarnation, service, address, failureDomain, slots, true, weightsVersions);
+        return new BackendServer(
+                id, incarnation, service, address, failureDomain, softwareVersion, slots, true, weightsVersions);
     }
 }
--- a/core/src/main/java/org/geraniumford/core/fleet/SendDecision.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/SendDecision.java
@@ -32,6 +32,15 @@
             return query.excluded().contains(state.server().id());
         }
     },
+    /** Another version of the servers' software has begun the stream. */
+    OTHER_SOFTWARE(true) {
+        @Override
+        boolean applies(ServerDirectory directory, ServerState state, ServerQuery query, long nowNanos) {
+            return query.softwareVersion()
+                    .filter(version -> !version.equals(state.server().softwareVersion()))
+                    .isPresent();
+        }
+    },
     /** The server's weights are unknown or older than the request allows. */
     WRONG_WEIGHTS(true) {
         @Override
--- a/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerQuery.java
@@ -30,6 +30,8 @@
  * @param priority the priority of the request; 0 is the most urgent
  * @param fewestRequests whether the server with the fewest requests is preferred, because it may end under the request
  * @param yielding whether the request leaves the next place at a server with a limit to another customer
+ * @param softwareVersion the version of the software of the server that began the stream, at which alone it may go on;
+ *     empty for a request that begins
  */
 public record ServerQuery(
         String service,
@@ -45,7 +47,8 @@
         Set<String> excluded,
         int priority,
         boolean fewestRequests,
-        boolean yielding) {
+        boolean yielding,
+        Optional<String> softwareVersion) {
     /** Checks and copies the components. */
     public ServerQuery {
         requireNonNull(service, "service is null");
@@ -54,9 +57,46 @@
         requireNonNull(firstUnsavedSegment, "firstUnsavedSegment is null");
         requireNonNull(targetLatency, "targetLatency is null");
         requireNonNull(timeLimit, "timeLimit is null");
+        requireNonNull(softwareVersion, "softwareVersion is null");
         excluded = Set.copyOf(excluded);
     }
 
+    // -- construction
+
+    /** Creates the requirements of a request that begins, at whatever version of the servers' software. */
+    ServerQuery(
+            String service,
+            String failureDomain,
+            int requestBytes,
+            Optional<ScopedPrompt> prompt,
+            int newestWeightsVersion,
+            int minWeightsVersion,
+            OptionalLong firstUnsavedSegment,
+            Duration targetLatency,
+            Duration timeLimit,
+            boolean fetchable,
+            Set<String> excluded,
+            int priority,
+            boolean fewestRequests,
+            boolean yielding) {
+        this(
+                service,
+                failureDomain,
+                requestBytes,
+                prompt,
+                newestWeightsVersion,
+                minWeightsVersion,
+                firstUnsavedSegment,
+                targetLatency,
+                timeLimit,
+                fetchable,
+                excluded,
+                priority,
+                fewestRequests,
+                yielding,
+                Optional.empty());
+    }
+
     // -- combinators
 
     /**
@@ -80,6 +120,7 @@
                 Set.of(),
                 priority,
                 fewestRequests,
-                false);
+                false,
+                softwareVersion);
     }
 }
--- a/core/src/main/java/org/geraniumford/core/stream/package-info.java
+++ b/core/src/main/java/org/geraniumford/core/stream/package-info.java
@@ -1,2 +1,5 @@
-/** Assembles one response from the frames of one or more attempts. */
+/**
+ * Assembles one response from the frames of one or more attempts, and knows at which version of its servers' software a
+ * stream was begun.
+ */
 package org.geraniumford.core.stream;
--- a/core/src/main/java/org/geraniumford/core/verdict/Reason.java
+++ b/core/src/main/java/org/geraniumford/core/verdict/Reason.java
@@ -66,6 +66,10 @@
     SERVER_LIMIT_REACHED(503, true),
     /** Every backend server that could serve the request asked for a pause. */
     SERVER_PAUSED(503, true),
+    /** Nobody can tell which version of the servers' software began the stream that the caller takes up again. */
+    STREAM_ORIGIN_UNKNOWN(503, true),
+    /** No server has the version of the software that began the stream. */
+    STREAM_SOFTWARE_GONE(503, true),
     /** The engine restarted since it was chosen. */
     STALE_INCARNATION(503, true),
     /** The engine serves other weights than the request requires. */
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
@@ -4,7 +4,11 @@
 import java.util.OptionalInt;
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.forward.AttemptFailure;
+import org.geraniumford.core.forward.NextStep;
 import org.geraniumford.core.prompt.PromptSpec;
+import org.geraniumford.core.quarantine.QuarantineDecision;
+import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.transport.forward.ResponseFraming;
 import org.geraniumford.transport.log.LogEvent;
 
@@ -18,6 +22,7 @@
         LogEvent event = LogEvent.of("attempt")
                 .with("request", admitted.request().id())
                 .with("server", server.server().id())
+                .with("software", server.server().softwareVersion())
                 .with("running", load.running())
                 .with("queued_tokens", load.pendingPrefillTokens());
         if (server.limit().isNamed()) {
@@ -57,4 +62,26 @@
                 .with("within_event", withinEvent)
                 .info();
     }
+
+    /** Logs what ended an attempt without a usable response, and what follows. */
+    static void end(AdmittedRequest admitted, Attempt ended, AttemptFailure failure, Reason reason, NextStep nextStep) {
+        LogEvent.of("attempt_ended")
+                .with("request", admitted.request().id())
+                .with("server", ended.server().server().id())
+                .with("outcome", failure.getClass().getSimpleName())
+                .with("reason", reason.label())
+                .with("detail", ended.detail())
+                .with("next", nextStep)
+                .info();
+    }
+
+    /** Logs that no attempt may begin, because servers have ended under the request or a segment of its prompt. */
+    static void held(AdmittedRequest admitted, QuarantineDecision.Held held) {
+        LogEvent.of("held")
+                .with("request", admitted.request().id())
+                .with("segment", Long.toHexString(held.segment()))
+                .with("ends", held.count())
+                .with("retry_ms", held.retryAfter().toMillis())
+                .info();
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -38,6 +38,9 @@
     /** The customers that may share the segments of the prompt; empty before it was asked. */
     private Optional<SharingGroup> sharingGroup = Optional.empty();
 
+    /** The version of the software of the server that began the stream; empty before its first event. */
+    private Optional<String> softwareVersion = Optional.empty();
+
     /** The keys of the prompt's segments for that group of customers. */
     private final Map<Integer, ScopedPrompt> scopedPromptsByWeights = new HashMap<>();
 
@@ -91,6 +94,17 @@
         return gateway.chooser().choose(gateway.state().directory(), query, System.nanoTime());
     }
 
+    /** Lets the stream go on only at servers of the version that began it. */
+    void goOnAt(String version) {
+        softwareVersion = Optional.of(version);
+    }
+
+    /** Returns whether the service has a server with a version of its software that takes new work. */
+    boolean hasServerOf(String version) {
+        return gateway.state().directory().activeServers(admitted.service()).stream()
+                .anyMatch(state -> state.server().softwareVersion().equals(version));
+    }
+
     /** Decides whether the stream may go on at the server that holds the backup of its memory. */
     SendDecision decideResumptionAt(ServerState backup) {
         ServerQuery query = query(Set.of(), false).asResumptionAtBackup();
@@ -179,8 +193,8 @@
 
     /**
      * Chooses the server for the backup of a stream that could not be resumed otherwise: the next best server, if it is
-     * in the same failure domain and has the same weights. Empty if that server does not qualify, if no backup is
-     * needed, or if the service supports none.
+     * in the same failure domain and has the same weights and software. Empty if that server does not qualify, if no
+     * backup is needed, or if the service supports none.
      */
     Optional<ServerState> chooseBackupServer(ServerState server, Set<String> attemptedServers) {
         boolean streaming = admitted.route().kind() == RouteKind.STREAMING;
@@ -193,6 +207,9 @@
                         .filter(other -> other.server()
                                 .failureDomain()
                                 .equals(server.server().failureDomain()))
+                        .filter(other -> other.server()
+                                .softwareVersion()
+                                .equals(server.server().softwareVersion()))
                         .filter(other ->
                                 other.weightsVersion(prompt.model()).equals(server.weightsVersion(prompt.model()))));
     }
@@ -227,7 +244,8 @@
                 attemptedServers,
                 admitted.priority(),
                 suspected,
-                isYielding());
+                isYielding(),
+                softwareVersion);
     }
 
     private ScopedPrompt scopedPrompt(PromptSpec prompt, int weights) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -36,6 +36,7 @@
     private final ForwardMachine machine;
     private final DispatchPlanner planner;
     private final StreamedResponse stream;
+    private final StreamSoftware software;
     private final CustomerCharge charge;
     private final Set<String> attemptedServers = new HashSet<>();
     private ScheduledFuture<?> deadlineTimer;
@@ -60,6 +61,7 @@
         this.times = new ResponseTimes(gateway.metrics(), exchange.headReadNanos());
         this.charge = gateway.state().customerLimits().charge(admitted);
         this.planner = new DispatchPlanner(gateway, admitted, exchange.request(), this::timeLeft);
+        this.software = new StreamSoftware(gateway, admitted, planner);
     }
 
     // -- queries
@@ -106,7 +108,13 @@
         });
         deadlineTimer = gateway.loop()
                 .schedule(this::handleDeadlineExpired, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
-        startUnlessOverloaded();
+        software.resolve().thenAccept(refusal -> endIfThrown(() -> startUnlessRefused(refusal)));
+    }
+
+    private void startUnlessRefused(Optional<Refusal> refusal) {
+        if (!finished && exchange.isConnected()) {
+            refusal.ifPresentOrElse(this::refuse, this::startUnlessOverloaded);
+        }
     }
 
     /** Abandons the attempt at a silent server if the request may run elsewhere and the budget allows a retry. */
@@ -175,6 +183,9 @@
 
     private void startAttempt(ServerState server, Dispatch dispatch, long prefillTokens) {
         charge.startAttempt();
+        if (!machine.responseStarted()) {
+            software.beginAttempt(server);
+        }
         attempt = new Attempt(this, server, dispatch, prefillTokens);
         attempt.start();
     }
@@ -185,12 +196,7 @@
     }
 
     private void handleHeld(QuarantineDecision.Held held) {
-        LogEvent.of("held")
-                .with("request", admitted.request().id())
-                .with("segment", Long.toHexString(held.segment()))
-                .with("ends", held.count())
-                .with("retry_ms", held.retryAfter().toMillis())
-                .info();
+        AttemptLog.held(admitted, held);
         if (machine.mayHaveRun()) {
             refuse(Refusal.of(Reason.CONNECTION_LOST, Verdict.MAY_HAVE_RUN, "the server failed"));
         } else {
@@ -259,14 +265,7 @@
                 && charge.allowsRetry(failure.verdict());
         NextStep step = machine.handleAttemptFailure(
                 failure, mayRetry, backup.isPresent(), () -> gateway.tryAcquireRetry(admitted.service()));
-        LogEvent.of("attempt_ended")
-                .with("request", admitted.request().id())
-                .with("server", ended.server().server().id())
-                .with("outcome", failure.getClass().getSimpleName())
-                .with("reason", reason.label())
-                .with("detail", ended.detail())
-                .with("next", step)
-                .info();
+        AttemptLog.end(admitted, ended, failure, reason, step);
         switch (step) {
             case TRY_ELSEWHERE, RESUME_ELSEWHERE -> {
                 gateway.metrics().countRetry(reason);
@@ -300,6 +299,7 @@
         }
         if (!machine.responseStarted()) {
             machine.markResponseStarted();
+            software.recordFirstEvent();
             times.recordFirstBytes();
         }
         if (!exchange.isWritable() && attempt != null) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -17,7 +17,9 @@
 import org.geraniumford.core.retry.SharedRetryBudget;
 import org.geraniumford.core.service.ApiCustomer;
 import org.geraniumford.core.service.Route;
+import org.geraniumford.core.service.RouteKind;
 import org.geraniumford.core.service.RoutingTable;
+import org.geraniumford.core.stream.StreamOrigin;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.transport.forward.CallerExchange;
@@ -36,6 +38,11 @@
      */
     private static final Duration MAX_TICK_GAP = Duration.ofMillis(400);
 
+    /** A hash without its last bits is a whole number of these units between 0 and 1. */
+    private static final double DRAW_UNIT = 0x1p-53;
+
+    private static final int UNUSED_HASH_BITS = 11;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
     /** When a request may come again that only a newer configuration could allow: once that had time to arrive. */
     private static final Duration OUTDATED_RETRY_AFTER = Duration.ofMillis(300);
@@ -183,7 +190,7 @@
         AdmittedRequest admitted = new AdmittedRequest(
                 request,
                 route.get(),
-                route.get().pickService(random.nextDouble()),
+                route.get().pickService(draw(request, route.get())),
                 customer,
                 timeLimit(request, route.get()),
                 routingTable.get().version());
@@ -200,6 +207,19 @@
         forwarded.start();
     }
 
+    /**
+     * Returns the number that selects one of a route's services: for a stream one that follows from its first request,
+     * so that a caller that takes it up again reaches the same service.
+     */
+    private double draw(InboundRequest request, Route route) {
+        if (route.kind() != RouteKind.STREAMING) {
+            return random.nextDouble();
+        }
+        String firstRequestId =
+                request.position().flatMap(StreamPosition::firstRequestId).orElse(request.id());
+        return (StreamOrigin.key(firstRequestId) >>> UNUSED_HASH_BITS) * DRAW_UNIT;
+    }
+
     private static Duration timeLimit(InboundRequest request, Route route) {
         Duration callerTimeout = request.timeout().orElse(DEFAULT_CALLER_TIMEOUT);
         return callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ServerDirectory;
@@ -18,6 +19,7 @@
 import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.time.SharedClock;
 import org.geraniumford.core.weights.PublishedWeights;
+import org.geraniumford.daemon.streams.StreamRegistry;
 import org.geraniumford.transport.log.LogEvent;
 
 /** The gateway's estimate of the state of its deployment. Used only on the network thread of the gateway. */
@@ -39,6 +41,7 @@
     private final CustomerLimits customerLimits;
     private final SharedClock clock;
     private final ConfigurationFreshness configurationFreshness;
+    private final StreamRegistry streams;
     private Runnable loadListener = () -> {};
     private RoutingTable routingTable;
     private Set<String> alivePeers = Set.of();
@@ -51,6 +54,7 @@
         this.customerLimits = CustomerLimits.of(quotaTolerance);
         this.clock = clock;
         this.configurationFreshness = ConfigurationFreshness.of(clock, freshness);
+        this.streams = StreamRegistry.of(directory, clock, new Random());
     }
 
     // -- construction
@@ -125,6 +129,11 @@
         return configurationFreshness;
     }
 
+    /** Returns the record of where streams were begun, which is mutable. */
+    public StreamRegistry streams() {
+        return streams;
+    }
+
     /**
      * Returns the limits in force on the requests and connections of callers.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/InboundRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/InboundRequest.java
@@ -17,6 +17,7 @@
  *     no readable time
  * @param prompt the model, size and segments of the prompt; empty if the request does not describe one, as for a plain
  *     service
+ * @param position what the caller has of a stream that it takes up again; empty for a request that begins
  */
 public record InboundRequest(
         String id,
@@ -24,7 +25,8 @@
         String path,
         Optional<String> apiKey,
         Optional<Duration> timeout,
-        Optional<PromptSpec> prompt) {
+        Optional<PromptSpec> prompt,
+        Optional<StreamPosition> position) {
     /** Checks the components. */
     public InboundRequest {
         requireNonNull(id, "id is null");
@@ -33,5 +35,6 @@
         requireNonNull(apiKey, "apiKey is null");
         requireNonNull(timeout, "timeout is null");
         requireNonNull(prompt, "prompt is null");
+        requireNonNull(position, "position is null");
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -236,6 +236,7 @@
         removeSilentPeers(nowNanos);
         state.updateAlivePeers(lastSeenNanos.keySet());
         quarantine.updatePeers(lastSeenNanos.keySet());
+        state.streams().updatePeers(lastSeenNanos.keySet());
         state.directory().updateEntryShare(connectors.entryShare(lastSeenNanos.size(), nowNanos));
         state.customerLimits().accounts().updateEntries(connectors.listedEntries(nowNanos), nowNanos);
         heardPeers = lastSeenNanos.size();
@@ -273,6 +274,7 @@
         state.customerLimits().accounts().markAnnounced();
         state.directory().markAnnounced();
         state.serverSpeeds().markAnnounced();
+        state.streams().markAnnounced();
     }
 
     private void send(Link link, GossipMessages messages, LeaseSnapshot lease, boolean refresh) {
@@ -299,6 +301,7 @@
                         loads,
                         state.directory().leavingServers(),
                         limits,
+                        state.streams().gossip(complete),
                         state.serverSpeeds().gossip(complete, announcedNanos)),
                 new OperatorGossip(
                         state.configurationFreshness().gossip(configurations.version()), state.weightsGossip()),
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipReceiver.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipReceiver.java
@@ -49,6 +49,9 @@
                 () -> state.directory()
                         .applyGossip(peer, complete, gossip.servers().loads()));
         Guarded.run("gossip of leaving", () -> gossip.servers().leaving().forEach(state.directory()::markLeaving));
+        Guarded.run(
+                "gossip of streams",
+                () -> state.streams().applyGossip(gossip.servers().streams()));
         Guarded.run(
                 "gossip of limits",
                 () -> state.serverLimits().applyGossip(peer, gossip.servers().limits()));
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -0,0 +1,140 @@
+package org.geraniumford.daemon.streams;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.stream.SoftwareHistory;
+import org.geraniumford.core.time.SharedClock;
+import org.geraniumford.transport.log.LogEvent;
+
+/**
+ * Keeps the history of the versions of servers' software, here and in the store. The store's row is read and written
+ * only when a version comes or goes. Used on one network thread.
+ */
+final class SoftwareWatch {
+    /** How long a version may be missing from the list of servers, which is read again after outages. */
+    private static final Duration MISSING_TIME = Duration.ofSeconds(2);
+
+    private static final Duration RETRY_DELAY = Duration.ofMillis(500);
+
+    /** All entries see a change at about the same time; one of them writes it, if the others look a little later. */
+    private static final Duration MAX_JITTER = Duration.ofMillis(200);
+
+    private record ServiceVersion(String service, String version) {}
+
+    private final ServerDirectory directory;
+    private final SharedClock clock;
+    private final RandomGenerator random;
+    private final Map<ServiceVersion, Long> listedNanos = new HashMap<>();
+
+    /** What this entry has seen itself, and what the store's row had. */
+    private SoftwareHistory history = SoftwareHistory.empty();
+
+    /** The store's row as it was read or written last; empty before that. */
+    private SoftwareHistory stored = SoftwareHistory.empty();
+
+    private boolean syncing;
+    private long nextSyncNanos;
+    private boolean syncPlanned;
+
+    SoftwareWatch(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
+        this.directory = directory;
+        this.clock = clock;
+        this.random = random;
+    }
+
+    // -- queries
+
+    SoftwareHistory history() {
+        return history;
+    }
+
+    private Map<String, Set<String>> listedVersions() {
+        Map<String, Set<String>> listed = new HashMap<>();
+        listedNanos
+                .keySet()
+                .forEach(key -> listed.computeIfAbsent(key.service(), service -> new HashSet<>())
+                        .add(key.version()));
+        return listed;
+    }
+
+    // -- commands
+
+    /** Looks at the list of servers. */
+    void look(long nowNanos) {
+        directory.all().forEach(state -> listedNanos.put(key(state.server()), nowNanos));
+        listedNanos.values().removeIf(lastNanos -> nowNanos - lastNanos > MISSING_TIME.toNanos());
+        if (clock.isKnown()) {
+            history = history.observe(listedVersions(), clock.millis());
+        }
+    }
+
+    /** Looks at the list of servers, and brings the store's row up to date if a version has come or gone. */
+    void tick(StreamStore store, long nowNanos) {
+        look(nowNanos);
+        if (!clock.isKnown() || listedNanos.isEmpty()) {
+            return;
+        }
+        Map<String, Set<String>> listed = listedVersions();
+        boolean changed = !stored.observe(listed, clock.millis()).equals(stored);
+        if (!changed) {
+            syncPlanned = false;
+        } else if (!syncPlanned) {
+            syncPlanned = true;
+            long jitterNanos = stored.equals(SoftwareHistory.empty()) ? 0 : random.nextLong(MAX_JITTER.toNanos());
+            nextSyncNanos = Math.max(nextSyncNanos, nowNanos + jitterNanos);
+        }
+        if (syncPlanned && !syncing && nowNanos - nextSyncNanos >= 0) {
+            sync(store);
+        }
+    }
+
+    private static ServiceVersion key(BackendServer server) {
+        return new ServiceVersion(server.service(), server.softwareVersion());
+    }
+
+    /** Takes over what the store's row had. */
+    void apply(StreamRecords records) {
+        stored = records.history();
+        history = history.joinedWith(stored).observe(listedVersions(), clock.millis());
+    }
+
+    private void sync(StreamStore store) {
+        syncing = true;
+        store.read()
+                .thenCompose(records -> {
+                    apply(records);
+                    SoftwareHistory next = stored.observe(listedVersions(), clock.millis());
+                    return next.equals(stored)
+                            ? CompletableFuture.completedFuture(OptionalLong.of(records.historyVersion()))
+                            : write(store, records.historyVersion(), next);
+                })
+                .whenComplete((version, failure) -> {
+                    syncing = false;
+                    syncPlanned = false;
+                    if (failure != null || version.isEmpty()) {
+                        nextSyncNanos = System.nanoTime() + RETRY_DELAY.toNanos();
+                    }
+                });
+    }
+
+    private CompletableFuture<OptionalLong> write(StreamStore store, long expectedVersion, SoftwareHistory next) {
+        LogEvent.of("software_versions")
+                .with("before", stored.toString().replace('\n', ';'))
+                .with("now", next.toString().replace('\n', ';'))
+                .info();
+        return store.writeHistory(expectedVersion, next).thenApply(version -> {
+            if (version.isPresent()) {
+                stored = next;
+            }
+            return version;
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecords.java
@@ -0,0 +1,40 @@
+package org.geraniumford.daemon.streams;
+
+import static java.util.Objects.requireNonNull;
+
+import java.util.List;
+import java.util.Map;
+import org.geraniumford.core.stream.SoftwareHistory;
+import org.geraniumford.core.stream.StreamBatch;
+import org.geraniumford.core.stream.StreamOrigin;
+
+/**
+ * What the store holds of streams and of the versions of servers' software.
+ *
+ * @param historyVersion the version of the row of the history; 0 if there is none
+ * @param history the history; empty if there is none or it cannot be read
+ * @param batches the recorded streams, by the keys of their rows
+ */
+public record StreamRecords(long historyVersion, SoftwareHistory history, Map<String, StreamBatch> batches) {
+    /** Checks and copies the components. */
+    public StreamRecords {
+        requireNonNull(history, "history is null");
+        batches = Map.copyOf(batches);
+    }
+
+    // -- queries
+
+    List<StreamOrigin> origins() {
+        return batches.values().stream()
+                .flatMap(batch -> batch.origins().stream())
+                .toList();
+    }
+
+    /** Returns the keys of the rows that were written before a time. */
+    List<String> recordedBefore(long millis) {
+        return batches.entrySet().stream()
+                .filter(batch -> batch.getValue().recordedMillis() < millis)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -0,0 +1,256 @@
+package org.geraniumford.daemon.streams;
+
+import static java.util.Objects.requireNonNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.stream.StreamOrigin;
+import org.geraniumford.core.stream.StreamOrigins;
+import org.geraniumford.core.time.SharedClock;
+
+/**
+ * Knows at which version of its servers' software each stream was begun. Entries tell each other of the streams of
+ * services whose servers have several versions, and record them in the store, where they outlast the entries. Used on
+ * one network thread.
+ */
+public final class StreamRegistry {
+    /** How long a stream is remembered; longer than any lasts, with all tries of its caller. */
+    private static final Duration MEMORY = Duration.ofSeconds(40);
+
+    /** How far back a message goes that has all that its sender knows. */
+    private static final Duration COMPLETE_GOSSIP = Duration.ofSeconds(4);
+
+    /** How long the result of a read holds for streams that it did not have. */
+    private static final Duration READ_VALIDITY = Duration.ofMillis(250);
+
+    private final SharedClock clock;
+    private final SoftwareWatch software;
+    private final StreamOrigins origins = StreamOrigins.empty();
+    private final Set<Long> ownKeys = new HashSet<>();
+    private List<StreamOrigin> unannounced = new ArrayList<>();
+    private Set<String> mixedServices = Set.of();
+
+    /** Where streams are recorded; null before {@link #recordIn}. */
+    private StreamStore store;
+
+    private StreamRecorder recorder;
+
+    /** The read in progress or the last one, and when it began. */
+    private CompletableFuture<StreamRecords> lastRead;
+
+    private long lastReadNanos;
+
+    private StreamRegistry(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
+        this.clock = clock;
+        this.software = new SoftwareWatch(directory, clock, random);
+    }
+
+    // -- construction
+
+    /**
+     * Creates a registry without streams.
+     *
+     * @param directory the known servers, whose listings name their versions
+     * @param clock the clock that all entries share
+     * @param random the source of the differences between entries
+     * @return a registry that records nothing before {@link #recordIn}
+     */
+    public static StreamRegistry of(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
+        return new StreamRegistry(
+                requireNonNull(directory, "directory is null"),
+                requireNonNull(clock, "clock is null"),
+                requireNonNull(random, "random is null"));
+    }
+
+    // -- queries
+
+    /**
+     * Finds the version at which a stream was begun.
+     *
+     * @param firstRequestId the id of the request that brought its first event; empty if its caller names none
+     * @param service the service that must go on with it
+     * @param lifetime how long ago it may have been begun
+     * @return the version; empty if it cannot be known, so that no server may go on with the stream. Completes on the
+     *     network thread
+     */
+    public CompletableFuture<Optional<String>> softwareOf(
+            Optional<String> firstRequestId, String service, Duration lifetime) {
+        Optional<String> known = known(firstRequestId, service);
+        if (known.isPresent() || store == null || !clock.isKnown()) {
+            return CompletableFuture.completedFuture(known);
+        }
+        return read().handle((records, failure) -> failure == null
+                ? known(firstRequestId, service).or(() -> onlyVersion(records, service, lifetime))
+                : Optional.empty());
+    }
+
+    private Optional<String> known(Optional<String> firstRequestId, String service) {
+        return firstRequestId
+                .flatMap(id -> origins.find(StreamOrigin.key(id)))
+                .filter(origin -> origin.service().equals(service))
+                .map(StreamOrigin::softwareVersion);
+    }
+
+    /** Returns the version that all servers of a service have had for as long as a stream can have lasted. */
+    private Optional<String> onlyVersion(StreamRecords records, String service, Duration lifetime) {
+        long sinceMillis = clock.millis() - lifetime.toMillis();
+        Set<String> versions = new HashSet<>(records.history().versionsSince(service, sinceMillis));
+        versions.addAll(software.history().versionsSince(service, sinceMillis));
+        return versions.size() == 1 && records.history().reachesBackTo(service, sinceMillis)
+                ? versions.stream().findFirst()
+                : Optional.empty();
+    }
+
+    private boolean isMixed(String service, Duration lifetime) {
+        return clock.isKnown()
+                && software.history()
+                                .versionsSince(service, clock.millis() - lifetime.toMillis())
+                                .size()
+                        > 1;
+    }
+
+    /**
+     * Returns what peers have to learn.
+     *
+     * @param complete whether they may have missed earlier messages
+     * @return the streams that were begun here, of services whose servers have several versions
+     */
+    public List<StreamOrigin> gossip(boolean complete) {
+        if (!complete) {
+            return List.copyOf(unannounced);
+        }
+        long sinceMillis = clock.millis() - COMPLETE_GOSSIP.toMillis();
+        return origins.select(origin -> ownKeys.contains(origin.requestKey())
+                && origin.begunMillis() >= sinceMillis
+                && mixedServices.contains(origin.service()));
+    }
+
+    // -- commands
+
+    /**
+     * Sets where streams are recorded.
+     *
+     * @param host the name of this host
+     * @param newStore the store
+     */
+    public void recordIn(String host, StreamStore newStore) {
+        recorder = new StreamRecorder(requireNonNull(host, "host is null"), clock);
+        store = requireNonNull(newStore, "newStore is null");
+    }
+
+    /**
+     * Records that a server is sent a request for a stream that a caller may take up again.
+     *
+     * @param requestId the id that the caller gave to the request
+     * @param service the service
+     * @param softwareVersion the version of the server's software
+     * @param lifetime how long the stream may last
+     */
+    public void begin(String requestId, String service, String softwareVersion, Duration lifetime) {
+        StreamOrigin origin = new StreamOrigin(StreamOrigin.key(requestId), service, softwareVersion, clock.millis());
+        origins.add(List.of(origin));
+        ownKeys.add(origin.requestKey());
+        software.look(System.nanoTime());
+        if (isMixed(service, lifetime)) {
+            announce(List.of(origin));
+        }
+    }
+
+    private void announce(List<StreamOrigin> begun) {
+        unannounced.addAll(begun);
+        if (recorder != null) {
+            recorder.add(begun);
+            recorder.tick(store);
+        }
+    }
+
+    /** Records that the streams of {@link #gossip} were sent to the peers. */
+    public void markAnnounced() {
+        unannounced = new ArrayList<>();
+    }
+
+    /**
+     * Adds streams that were begun at a peer.
+     *
+     * @param begun the streams
+     */
+    public void applyGossip(Collection<StreamOrigin> begun) {
+        List<StreamOrigin> news = begun.stream()
+                .filter(origin ->
+                        origins.find(origin.requestKey()).filter(origin::equals).isEmpty())
+                .toList();
+        origins.add(news);
+        if (recorder != null) {
+            recorder.add(news);
+            recorder.tick(store);
+        }
+    }
+
+    /**
+     * Records which other entries are heard.
+     *
+     * @param hosts the names of their hosts
+     */
+    public void updatePeers(Collection<String> hosts) {
+        if (recorder != null) {
+            recorder.updatePeers(hosts);
+        }
+    }
+
+    /** Follows the versions of servers' software, and records streams. Must be called several times a second. */
+    public void tick() {
+        if (store == null) {
+            return;
+        }
+        software.tick(store, System.nanoTime());
+        if (!clock.isKnown()) {
+            return;
+        }
+        long nowMillis = clock.millis();
+        announceNewlyMixed();
+        recorder.tick(store);
+        origins.removeBegunBefore(nowMillis - MEMORY.toMillis());
+        ownKeys.removeIf(key -> origins.find(key).isEmpty());
+    }
+
+    /** Tells of the streams in progress of a service once its servers have several versions. */
+    private void announceNewlyMixed() {
+        Set<String> mixed = new HashSet<>();
+        software.history().services().stream()
+                .filter(service -> isMixed(service, MEMORY))
+                .forEach(mixed::add);
+        List<StreamOrigin> begun = origins.select(origin -> mixed.contains(origin.service())
+                && !mixedServices.contains(origin.service())
+                && ownKeys.contains(origin.requestKey()));
+        mixedServices = mixed;
+        if (!begun.isEmpty()) {
+            announce(begun);
+        }
+    }
+
+    /** Reads the store, or takes the result of a read that began a moment ago. */
+    private CompletableFuture<StreamRecords> read() {
+        long nowNanos = System.nanoTime();
+        boolean failed = lastRead != null && lastRead.isCompletedExceptionally();
+        if (lastRead == null || failed || nowNanos - lastReadNanos > READ_VALIDITY.toNanos()) {
+            lastReadNanos = nowNanos;
+            lastRead = store.read().thenApply(this::apply);
+        }
+        return lastRead;
+    }
+
+    private StreamRecords apply(StreamRecords records) {
+        software.apply(records);
+        origins.add(records.origins());
+        recorder.removeExpired(records);
+        return records;
+    }
+}
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/AttemptWeightsTest.java
@@ -52,7 +52,8 @@
     }
 
     private AttemptWeights attempt(Optional<PromptSpec> prompt, OptionalInt version) {
-        InboundRequest request = new InboundRequest("id", "host", "/path/", Optional.empty(), Optional.empty(), prompt);
+        InboundRequest request = new InboundRequest(
+                "id", "host", "/path/", Optional.empty(), Optional.empty(), prompt, Optional.empty());
         Route route = new Route(
                 "route",
                 "host",
--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -0,0 +1,219 @@
+package org.geraniumford.daemon.streams;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.stream.SoftwareHistory;
+import org.geraniumford.core.stream.StreamBatch;
+import org.geraniumford.core.stream.StreamOrigin;
+import org.geraniumford.core.time.SharedClock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class StreamRegistryTest {
+    private static final Duration LIFETIME = Duration.ofSeconds(6);
+    private static final long START = 1_000_000;
+
+    private final RowStore store = new RowStore();
+    private final ServerDirectory directory = ServerDirectory.empty(name -> Optional.empty());
+    private long nowMillis = START;
+    private final SharedClock clock = SharedClock.of(() -> nowMillis * 1_000_000);
+    private final StreamRegistry registry = StreamRegistry.of(directory, clock, new Random(1));
+
+    @BeforeEach
+    void start() {
+        clock.observe(START);
+        list("server-1", "v1");
+        registry.recordIn("host-a", store);
+    }
+
+    private void list(String id, String version) {
+        directory.register(new BackendServer(id, 1, "service", "10.0.0.1:80", "a", version, 4, false, Map.of()));
+    }
+
+    private Optional<String> softwareOf(StreamRegistry asked, String id) {
+        return asked.softwareOf(Optional.of(id), "service", LIFETIME).join();
+    }
+
+    private void advance(long millis) {
+        for (long i = 0; i < millis; i += 100) {
+            nowMillis += 100;
+            registry.tick();
+        }
+    }
+
+    /** As after a restart of all entries. */
+    private StreamRegistry restarted() {
+        StreamRegistry other = StreamRegistry.of(directory, clock, new Random(2));
+        other.recordIn("host-b", store);
+        return other;
+    }
+
+    @Test
+    void shouldRecordNoStreamWhileAServiceHasOneVersion() {
+        registry.tick();
+        registry.begin("id", "service", "v1", LIFETIME);
+        advance(1000);
+        assertThat(store.batches).isEmpty();
+        assertThat(registry.gossip(true)).isEmpty();
+        assertThat(softwareOf(registry, "id")).contains("v1");
+    }
+
+    @Test
+    void shouldKnowTheOnlyVersionOnceItWasTheOnlyOneForAsLongAsAStreamLasts() {
+        registry.tick();
+        advance(5900);
+        assertThat(softwareOf(restarted(), "id")).isEmpty();
+        advance(100);
+        assertThat(softwareOf(restarted(), "id")).contains("v1");
+    }
+
+    @Test
+    void shouldRecordStreamsWhileAServiceHasTwoVersions() {
+        list("server-2", "v2");
+        registry.tick();
+        registry.begin("one", "service", "v1", LIFETIME);
+        registry.begin("two", "service", "v2", LIFETIME);
+        advance(200);
+        assertThat(softwareOf(restarted(), "one")).contains("v1");
+        assertThat(softwareOf(restarted(), "two")).contains("v2");
+        assertThat(softwareOf(restarted(), "three")).isEmpty();
+        assertThat(registry.gossip(false)).hasSize(2);
+    }
+
+    /** Their callers may take them up when the newer version has servers too. */
+    @Test
+    void shouldRecordTheStreamsInProgressWhenASecondVersionComes() {
+        registry.tick();
+        registry.begin("id", "service", "v1", LIFETIME);
+        list("server-2", "v2");
+        advance(200);
+        assertThat(softwareOf(restarted(), "id")).contains("v1");
+    }
+
+    @Test
+    void shouldRecordTheVersionOfTheLastAttempt() {
+        list("server-2", "v2");
+        registry.tick();
+        registry.begin("id", "service", "v1", LIFETIME);
+        advance(300);
+        registry.begin("id", "service", "v2", LIFETIME);
+        advance(300);
+        assertThat(softwareOf(registry, "id")).contains("v2");
+        assertThat(softwareOf(restarted(), "id")).contains("v2");
+    }
+
+    @Test
+    void shouldRecordWhatPeersTellInItsTurnsOnly() {
+        list("server-2", "v2");
+        registry.updatePeers(List.of("host-b", "host-c"));
+        registry.tick();
+        long recorded = 0;
+        for (int i = 0; i < 30; i++) {
+            int before = store.batches.size();
+            registry.applyGossip(List.of(new StreamOrigin(i, "service", "v1", nowMillis)));
+            advance(100);
+            recorded += store.batches.size() - before;
+        }
+        assertThat(recorded).isBetween(8L, 12L);
+    }
+
+    @Test
+    void shouldCallTheStoreAtMostNineTimesASecondHoweverManyStreamsBegin() {
+        list("server-2", "v2");
+        registry.tick();
+        for (int i = 0; i < 5000; i++) {
+            registry.begin("id-" + i, "service", "v1", LIFETIME);
+            nowMillis += 2;
+        }
+        assertThat(store.written).isLessThan(16 + 9 * 10);
+        advance(500);
+        assertThat(softwareOf(restarted(), "id-4999")).contains("v1");
+    }
+
+    @Test
+    void shouldRemoveRowsThatAreOlderThanAnyStream() {
+        list("server-2", "v2");
+        store.batches.put("streams/other/1/0", new StreamBatch(START - 60_000, List.of()));
+        registry.tick();
+        registry.begin("one", "service", "v1", LIFETIME);
+        advance(45_000);
+        registry.begin("two", "service", "v1", LIFETIME);
+        assertThat(softwareOf(registry, "none")).isEmpty();
+        registry.begin("three", "service", "v1", LIFETIME);
+        advance(500);
+        assertThat(store.batches.values().stream().flatMap(batch -> batch.origins().stream()))
+                .extracting(StreamOrigin::requestKey)
+                .containsExactlyInAnyOrder(StreamOrigin.key("two"), StreamOrigin.key("three"));
+    }
+
+    @Test
+    void shouldNotKnowWhatTheStoreCannotTell() {
+        list("server-2", "v2");
+        registry.tick();
+        store.failing = true;
+        registry.begin("id", "service", "v1", LIFETIME);
+        advance(500);
+        assertThat(softwareOf(restarted(), "id")).isEmpty();
+        store.failing = false;
+        advance(500);
+        assertThat(softwareOf(restarted(), "id")).contains("v1");
+    }
+
+    @Test
+    void shouldKnowNoStreamOfAnotherService() {
+        list("server-2", "v2");
+        registry.tick();
+        registry.begin("id", "service", "v1", LIFETIME);
+        assertThat(registry.softwareOf(Optional.of("id"), "other", LIFETIME).join())
+                .isEmpty();
+    }
+
+    private static final class RowStore implements StreamStore {
+        private final Map<String, StreamBatch> batches = new HashMap<>();
+        private SoftwareHistory history = SoftwareHistory.empty();
+        private long historyVersion;
+        private int written;
+        private boolean failing;
+
+        private <T> CompletableFuture<T> answer(T value) {
+            return failing
+                    ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
+                    : CompletableFuture.completedFuture(value);
+        }
+
+        @Override
+        public CompletableFuture<StreamRecords> read() {
+            return answer(new StreamRecords(historyVersion, history, batches));
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> writeHistory(long expectedVersion, SoftwareHistory next) {
+            if (failing || expectedVersion != historyVersion) {
+                return answer(OptionalLong.empty());
+            }
+            history = next;
+            return answer(OptionalLong.of(++historyVersion));
+        }
+
+        @Override
+        public CompletableFuture<Void> writeBatch(String key, StreamBatch batch, Collection<String> expiredKeys) {
+            if (!failing) {
+                written++;
+                batches.put(key, batch);
+                batches.keySet().removeAll(expiredKeys);
+            }
+            return answer(null);
+        }
+    }
+}
--- a/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
+++ b/transport/src/test/java/org/geraniumford/transport/link/FrameCodecTest.java
@@ -25,6 +25,7 @@
 import org.geraniumford.core.quarantine.SuspectSegment;
 import org.geraniumford.core.service.ConfirmedConfiguration;
 import org.geraniumford.core.service.OperatorGossip;
+import org.geraniumford.core.stream.StreamOrigin;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.core.verdict.Verdict;
@@ -67,7 +68,13 @@
             })
     void shouldCarryGossipWhateverNamesItHolds(String name) throws Exception {
         Message.Gossip gossip = new Message.Gossip(
-                new ServerGossip(false, List.of(new ServerLoad(name, 1, 2, 3)), List.of(), List.of(), List.of()),
+                new ServerGossip(
+                        false,
+                        List.of(new ServerLoad(name, 1, 2, 3)),
+                        List.of(),
+                        List.of(),
+                        List.of(new StreamOrigin(-1, name, name, 2)),
+                        List.of()),
                 new OperatorGossip(
                         new ConfirmedConfiguration(7, 5, 1), List.of(new PublishedWeights(name, 2, 3, 4, true))),
                 new LeaseSnapshot(17, name),
@@ -90,6 +97,7 @@
                                 List.of(new LeavingServer("server-2", 1_770_000_000_000L)),
                                 List.of(new ServerLimitUse(
                                         "server-3", 1_770_000_000_000L, 2_100_000, 86_400_000L, 7, -5)),
+                                List.of(new StreamOrigin(Long.MIN_VALUE, "service", "v1.1", 86_400_000L)),
                                 List.of(new SpeedAnnouncement("server-1", 3, 30_900, 6170, 0, 7, 4250))),
                         new OperatorGossip(
                                 new ConfirmedConfiguration(9, 86_400_000_000L, 700),
