--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
@@ -19,15 +19,15 @@
     /** Logs the choice of the server with what it was based on. Called before the load of the attempt is recorded. */
     static void start(AdmittedRequest admitted, ServerState server, Dispatch dispatch, long prefillTokens) {
         ServerLoad load = server.totalLoad();
-        LogEvent event = LogEvent.of("attempt")
+        LogEvent chosen = LogEvent.of("attempt")
                 .with("request", admitted.request().id())
                 .with("server", server.server().id())
                 .with("software", server.server().softwareVersion())
                 .with("running", load.running())
                 .with("queued_tokens", load.pendingPrefillTokens());
-        if (server.limit().isNamed()) {
-            event.with("limit_per_second", server.limit().rate().orElse(0));
-        }
+        LogEvent event = server.limit().isNamed()
+                ? chosen.with("limit_per_second", server.limit().rate().orElse(0))
+                : chosen;
         dispatch.engine()
                 .map(engine -> event.with("weights", weightsText(engine.weightsVersion()))
                         .with("input_tokens", inputTokens(admitted))
