--- a/core/src/main/java/org/geraniumford/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/geraniumford/core/stream/StreamOrigins.java
@@ -1,6 +1,7 @@
 package org.geraniumford.core.stream;
 
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,11 +74,14 @@
     }
 
     /**
-     * Forgets the streams that have ended by now.
+     * Forgets the streams that have ended by now, in the order in which they were added.
      *
      * @param beforeMillis those that were begun earlier have ended
      */
     public void removeBegunBefore(long beforeMillis) {
-        byRequest.values().removeIf(origin -> origin.begunMillis() < beforeMillis);
+        Iterator<StreamOrigin> oldest = byRequest.values().iterator();
+        while (oldest.hasNext() && oldest.next().begunMillis() < beforeMillis) {
+            oldest.remove();
+        }
     }
 }
