--- a/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -32,7 +32,7 @@
     private final ServerDirectory directory;
     private final SharedClock clock;
     private final RandomGenerator random;
-    private final Map<ServiceVersion, Long> listedNanos = new HashMap<>();
+    private final Map<ServiceVersion, Long> listedMillis = new HashMap<>();
 
     /** What this entry has seen itself, and what the store's row had. */
     private SoftwareHistory history = SoftwareHistory.empty();
@@ -41,7 +41,7 @@
     private SoftwareHistory stored = SoftwareHistory.empty();
 
     private boolean syncing;
-    private long nextSyncNanos;
+    private long nextSyncMillis;
     private boolean syncPlanned;
 
     SoftwareWatch(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
@@ -58,7 +58,7 @@
 
     private Map<String, Set<String>> listedVersions() {
         Map<String, Set<String>> listed = new HashMap<>();
-        listedNanos
+        listedMillis
                 .keySet()
                 .forEach(key -> listed.computeIfAbsent(key.service(), service -> new HashSet<>())
                         .add(key.version()));
@@ -68,30 +68,32 @@
     // -- commands
 
     /** Looks at the list of servers. */
-    void look(long nowNanos) {
-        directory.all().forEach(state -> listedNanos.put(key(state.server()), nowNanos));
-        listedNanos.values().removeIf(lastNanos -> nowNanos - lastNanos > MISSING_TIME.toNanos());
-        if (clock.isKnown()) {
-            history = history.observe(listedVersions(), clock.millis());
+    void look() {
+        if (!clock.isKnown()) {
+            return;
         }
+        long nowMillis = clock.millis();
+        directory.all().forEach(state -> listedMillis.put(key(state.server()), nowMillis));
+        listedMillis.values().removeIf(lastMillis -> nowMillis - lastMillis > MISSING_TIME.toMillis());
+        history = history.observe(listedVersions(), nowMillis);
     }
 
     /** Looks at the list of servers, and brings the store's row up to date if a version has come or gone. */
-    void tick(StreamStore store, long nowNanos) {
-        look(nowNanos);
-        if (!clock.isKnown() || listedNanos.isEmpty()) {
+    void tick(StreamStore store) {
+        look();
+        if (listedMillis.isEmpty()) {
             return;
         }
-        Map<String, Set<String>> listed = listedVersions();
-        boolean changed = !stored.observe(listed, clock.millis()).equals(stored);
+        long nowMillis = clock.millis();
+        boolean changed = !stored.observe(listedVersions(), nowMillis).equals(stored);
         if (!changed) {
             syncPlanned = false;
         } else if (!syncPlanned) {
             syncPlanned = true;
-            long jitterNanos = stored.equals(SoftwareHistory.empty()) ? 0 : random.nextLong(MAX_JITTER.toNanos());
-            nextSyncNanos = Math.max(nextSyncNanos, nowNanos + jitterNanos);
+            long jitterMillis = stored.equals(SoftwareHistory.empty()) ? 0 : random.nextLong(MAX_JITTER.toMillis());
+            nextSyncMillis = Math.max(nextSyncMillis, nowMillis + jitterMillis);
         }
-        if (syncPlanned && !syncing && nowNanos - nextSyncNanos >= 0) {
+        if (syncPlanned && !syncing && nowMillis >= nextSyncMillis) {
             sync(store);
         }
     }
@@ -120,7 +122,7 @@
                     syncing = false;
                     syncPlanned = false;
                     if (failure != null || version.isEmpty()) {
-                        nextSyncNanos = System.nanoTime() + RETRY_DELAY.toNanos();
+                        nextSyncMillis = clock.millis() + RETRY_DELAY.toMillis();
                     }
                 });
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -3,10 +3,14 @@
 import static java.util.Objects.requireNonNull;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -25,8 +29,8 @@
     /** How long a stream is remembered; longer than any lasts, with all tries of its caller. */
     private static final Duration MEMORY = Duration.ofSeconds(40);
 
-    /** How far back a message goes that has all that its sender knows. */
-    private static final Duration COMPLETE_GOSSIP = Duration.ofSeconds(4);
+    /** How far back a message goes that has all that its peers may have missed. */
+    private static final Duration COMPLETE_GOSSIP = Duration.ofSeconds(8);
 
     /** How long the result of a read holds for streams that it did not have. */
     private static final Duration READ_VALIDITY = Duration.ofMillis(250);
@@ -34,9 +38,14 @@
     private final SharedClock clock;
     private final SoftwareWatch software;
     private final StreamOrigins origins = StreamOrigins.empty();
-    private final Set<Long> ownKeys = new HashSet<>();
+
+    /** The streams of this entry that nobody was told of, and how long each may last. */
+    private final Map<StreamOrigin, Duration> untold = new LinkedHashMap<>();
+
+    /** The streams of this entry that peers are told of, oldest first, and those of them for the next message. */
+    private final Deque<StreamOrigin> told = new ArrayDeque<>();
+
     private List<StreamOrigin> unannounced = new ArrayList<>();
-    private Set<String> mixedServices = Set.of();
 
     /** Where streams are recorded; null before {@link #recordIn}. */
     private StreamStore store;
@@ -127,10 +136,7 @@
         if (!complete) {
             return List.copyOf(unannounced);
         }
-        long sinceMillis = clock.millis() - COMPLETE_GOSSIP.toMillis();
-        return origins.select(origin -> ownKeys.contains(origin.requestKey())
-                && origin.begunMillis() >= sinceMillis
-                && mixedServices.contains(origin.service()));
+        return List.copyOf(told);
     }
 
     // -- commands
@@ -157,17 +163,28 @@
     public void begin(String requestId, String service, String softwareVersion, Duration lifetime) {
         StreamOrigin origin = new StreamOrigin(StreamOrigin.key(requestId), service, softwareVersion, clock.millis());
         origins.add(List.of(origin));
-        ownKeys.add(origin.requestKey());
-        software.look(System.nanoTime());
+        untold.put(origin, lifetime);
+        software.look();
         if (isMixed(service, lifetime)) {
-            announce(List.of(origin));
+            announceMixed();
         }
     }
 
-    private void announce(List<StreamOrigin> begun) {
-        unannounced.addAll(begun);
-        if (recorder != null) {
-            recorder.add(begun);
+    /** Tells of the streams in progress of services whose servers have, or have had meanwhile, several versions. */
+    private void announceMixed() {
+        long nowMillis = clock.millis();
+        untold.entrySet()
+                .removeIf(stream -> stream.getKey().begunMillis()
+                        < nowMillis - stream.getValue().toMillis());
+        List<StreamOrigin> mixed = untold.entrySet().stream()
+                .filter(stream -> isMixed(stream.getKey().service(), stream.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+        mixed.forEach(untold::remove);
+        told.addAll(mixed);
+        unannounced.addAll(mixed);
+        if (recorder != null && !mixed.isEmpty()) {
+            recorder.add(mixed);
             recorder.tick(store);
         }
     }
@@ -210,37 +227,23 @@
         if (store == null) {
             return;
         }
-        software.tick(store, System.nanoTime());
+        software.tick(store);
         if (!clock.isKnown()) {
             return;
         }
-        long nowMillis = clock.millis();
-        announceNewlyMixed();
+        announceMixed();
         recorder.tick(store);
+        long nowMillis = clock.millis();
         origins.removeBegunBefore(nowMillis - MEMORY.toMillis());
-        ownKeys.removeIf(key -> origins.find(key).isEmpty());
-    }
-
-    /** Tells of the streams in progress of a service once its servers have several versions. */
-    private void announceNewlyMixed() {
-        Set<String> mixed = new HashSet<>();
-        software.history().services().stream()
-                .filter(service -> isMixed(service, MEMORY))
-                .forEach(mixed::add);
-        List<StreamOrigin> begun = origins.select(origin -> mixed.contains(origin.service())
-                && !mixedServices.contains(origin.service())
-                && ownKeys.contains(origin.requestKey()));
-        mixedServices = mixed;
-        if (!begun.isEmpty()) {
-            announce(begun);
+        while (!told.isEmpty() && told.peek().begunMillis() < nowMillis - COMPLETE_GOSSIP.toMillis()) {
+            told.poll();
         }
     }
 
     /** Reads the store, or takes the result of a read that began a moment ago. */
     private CompletableFuture<StreamRecords> read() {
         long nowNanos = System.nanoTime();
-        boolean failed = lastRead != null && lastRead.isCompletedExceptionally();
-        if (lastRead == null || failed || nowNanos - lastReadNanos > READ_VALIDITY.toNanos()) {
+        if (lastRead == null || nowNanos - lastReadNanos > READ_VALIDITY.toNanos()) {
             lastReadNanos = nowNanos;
             lastRead = store.read().thenApply(this::apply);
         }
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -101,6 +101,34 @@
         assertThat(softwareOf(restarted(), "id")).contains("v1");
     }
 
+    /** The version before has left a while ago, but is still remembered. */
+    @Test
+    void shouldRecordTheStreamsInProgressWhenAThirdVersionComes() {
+        list("server-2", "v2");
+        registry.tick();
+        directory.deregister("server-1", 0);
+        advance(10_000);
+        registry.begin("id", "service", "v2", LIFETIME);
+        advance(500);
+        assertThat(store.batches).isEmpty();
+        list("server-3", "v3");
+        advance(200);
+        assertThat(softwareOf(restarted(), "id")).contains("v2");
+    }
+
+    @Test
+    void shouldAskTheStoreOnceForAllThatAreTakenUpAtATime() {
+        list("server-2", "v2");
+        registry.tick();
+        advance(1000);
+        int before = store.reads;
+        store.failing = true;
+        for (int i = 0; i < 50; i++) {
+            assertThat(softwareOf(registry, "none-" + i)).isEmpty();
+        }
+        assertThat(store.reads - before).isEqualTo(1);
+    }
+
     @Test
     void shouldRecordTheVersionOfTheLastAttempt() {
         list("server-2", "v2");
@@ -184,6 +212,7 @@
         private SoftwareHistory history = SoftwareHistory.empty();
         private long historyVersion;
         private int written;
+        private int reads;
         private boolean failing;
 
         private <T> CompletableFuture<T> answer(T value) {
@@ -194,6 +223,7 @@
 
         @Override
         public CompletableFuture<StreamRecords> read() {
+            reads++;
             return answer(new StreamRecords(historyVersion, history, batches));
         }
 
