--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -115,6 +115,15 @@
         WeightsOrder order =
                 new WeightsOrder(intent.model(), intent.version(), intent.holder(), fencingToken, expectedSequence);
         limits.recordUse(server);
+        LogEvent.of("order_sent")
+                .with("server", intent.server())
+                .with("fence", fencingToken)
+                .with("recorded_ms", intent.recordedMillis())
+                .with(
+                        "since_write_ms",
+                        Duration.ofNanos(System.nanoTime() - issueWindow.startNanos())
+                                .toMillis())
+                .info();
         engines.order(server.server(), order).whenComplete((accepted, failure) -> {
             LogEvent.of("weights_ordered")
                     .with("server", intent.server())
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -314,6 +314,9 @@
                 lease.renewedBy(host, storeNowMillis, intents, orderSpacing.plus(ESTIMATED_LOADING_TIME));
         IssueWindow issueWindow =
                 IssueWindow.startingAt(nowNanos, System.currentTimeMillis(), PendingOrder.ISSUE_WINDOW);
+        if (!holdsLease()) {
+            logTakeover(renewedLease);
+        }
         markStoreCall(nowNanos);
         lastWriteNanos = nowNanos;
         leaseStore.write(rowVersion, renewedLease).whenComplete((newRowVersion, failure) -> {
@@ -334,6 +337,17 @@
         });
     }
 
+    private void logTakeover(WeightsLease renewedLease) {
+        LogEvent.of("lease_takeover")
+                .with("fence", renewedLease.fencingToken())
+                .with("row", rowVersion)
+                .with("from", lease.holder())
+                .with("renewed_ms", lease.renewedMillis())
+                .with("now_ms", renewedLease.renewedMillis())
+                .with("intents", lease.intents())
+                .info();
+    }
+
     private void issueOrders(
             WeightsLease renewedLease, OptionalLong newRowVersion, List<OrderIntent> orders, IssueWindow issueWindow) {
         adoptLease(renewedLease, newRowVersion.getAsLong());
