--- a/core/src/main/java/org/geraniumford/core/weights/IssueWindow.java
+++ b/core/src/main/java/org/geraniumford/core/weights/IssueWindow.java
@@ -1,6 +1,7 @@
 package org.geraniumford.core.weights;
 
 import java.time.Duration;
+import org.geraniumford.core.time.LocalClock;
 
 /**
  * The time in which a permission may be acted upon. The monotonic clock stands still while a host is suspended, and the
@@ -32,8 +33,29 @@
         return new IssueWindow(nowNanos, nowMillis, length);
     }
 
+    /**
+     * Opens a window.
+     *
+     * @param clock the clocks of this process
+     * @param length how long the window is open
+     * @return a window that is open now
+     */
+    public static IssueWindow starting(LocalClock clock, Duration length) {
+        return startingAt(clock.nanos(), clock.timeOfDayMillis(), length);
+    }
+
     // -- queries
 
+    /**
+     * Returns whether the permission may be acted upon.
+     *
+     * @param clock the clocks of this process
+     * @return false once one of the clocks has advanced by the length of the window
+     */
+    public boolean isOpen(LocalClock clock) {
+        return isOpen(clock.nanos(), clock.timeOfDayMillis());
+    }
+
     /**
      * Returns whether the permission may be acted upon.
      *
--- /dev/null
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderKey.java
@@ -0,0 +1,18 @@
+package org.geraniumford.core.weights;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Identifies an order, however often its intent is renewed. No two orders have the same key, because only one write
+ * succeeds for each version of the row.
+ *
+ * @param server the id of the backend server that receives the order
+ * @param fencingToken the fencing token of the term in which the order is issued
+ * @param rowVersion the version of the lease row that the write of the intent replaced
+ */
+public record OrderKey(String server, long fencingToken, long rowVersion) {
+    /** Checks the components. */
+    public OrderKey {
+        requireNonNull(server, "server is null");
+    }
+}
--- a/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
@@ -2,62 +2,69 @@
 
 import static java.util.Objects.requireNonNull;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.geraniumford.core.text.LineField;
 
 /**
- * The weights lease, one row of the store. It determines which host orders engines to load weights, and contains the
+ * The weights lease, one row of the store. It determines which process orders engines to load weights, and contains the
  * intents of recent orders. An order is issued only after its intent was written on the condition that the row still
  * had the last known version, so that a holder that lost the lease cannot issue orders whose intents its successor has
- * not read.
+ * not read. The lease holds no time: how long ago an order can have been issued is counted by each process from when it
+ * first saw the order, see {@link OrderSightings}.
  *
- * @param fencingToken the fencing token, which increases with each change of the holder; 0 before the first holder
- * @param holder the host that holds the lease; an empty string before the first holder
- * @param renewedMillis when the row was last written, in milliseconds on the store's clock; 0 after a release
+ * @param term who holds the lease
+ * @param released whether the holder has released it, so that any other process can take it
  * @param intents the intents of recent orders
- * @param intentsLostMillis when a row was found whose intents could not be read, in milliseconds on the store's clock;
- *     0 if that is long ago or never was
+ * @param ordersLostVersion the version of a row, or of the store if the row was missing, whose intents could not be
+ *     read; 0 if that is long ago or never was
  */
-public record WeightsLease(
-        long fencingToken, String holder, long renewedMillis, List<OrderIntent> intents, long intentsLostMillis) {
+public record WeightsLease(LeaseTerm term, boolean released, List<OrderIntent> intents, long ordersLostVersion) {
     private static final String SEPARATOR = " ";
-    private static final int HEAD_FIELDS = 3;
-    private static final int HEAD_FIELDS_WITH_LOSS = 4;
-    private static final int INTENT_FIELDS = 6;
+    private static final String RELEASED = "0";
+    private static final String HELD = "1";
 
     /** Checks and copies the components. */
     public WeightsLease {
-        requireNonNull(holder, "holder is null");
+        requireNonNull(term, "term is null");
         intents = List.copyOf(intents);
     }
 
     // -- construction
 
     /**
-     * Returns the lease as it is before any host held it.
+     * Returns the lease as it is before any process held it.
      *
      * @return a lease without a holder
      */
     public static WeightsLease empty() {
-        return new WeightsLease(0, "", 0, List.of(), 0);
+        return new WeightsLease(LeaseTerm.none(), false, List.of(), 0);
     }
 
     /**
-     * Returns the lease of a row whose value cannot be read. Its holder is unknown and counts as alive, and orders that
-     * it has issued may be on their way to any server.
+     * Returns the lease of a row whose value cannot be read, or is an earlier one. Its holder is unknown and counts as
+     * alive, and orders that it has issued may be on their way to any server.
      *
-     * @param rowVersion the version of the row, which is at least as high as each fencing token that was written to it:
-     *     a write raises the token by one at most and the version by one at least
-     * @param nowMillis the time on the store's clock in milliseconds
-     * @return a fresh lease, with the version as its fencing token
+     * @param rowVersion the version of the row, which is at least as high as each fencing token that was written to it
+     * @return a lease with the version as its fencing token
      */
-    public static WeightsLease ofUnreadableRow(long rowVersion, long nowMillis) {
-        return new WeightsLease(rowVersion, "", nowMillis, List.of(), nowMillis);
+    public static WeightsLease ofUnreadableRow(long rowVersion) {
+        return new WeightsLease(LeaseTerm.ofUnknownHolder(rowVersion), false, List.of(), rowVersion);
+    }
+
+    /**
+     * Returns the lease of a row that does not exist. There may have been one that was removed, so orders may be on
+     * their way to any server.
+     *
+     * @param storeVersion the newest version in the store, which is at least as high as each fencing token of the row
+     * @return a lease that any process can take
+     */
+    public static WeightsLease ofMissingRow(long storeVersion) {
+        return new WeightsLease(LeaseTerm.ofUnknownHolder(storeVersion), true, List.of(), storeVersion);
     }
 
     /**
@@ -68,37 +75,46 @@
      */
     public static Optional<WeightsLease> decode(String text) {
         String[] lines = text.split("\n", -1);
-        String[] head = lines[0].split(SEPARATOR, -1);
         try {
-            if (head.length != HEAD_FIELDS && head.length != HEAD_FIELDS_WITH_LOSS) {
-                return Optional.empty();
-            }
             List<OrderIntent> intents = Arrays.stream(lines)
                     .skip(1)
                     .map(line -> decodeIntent(line.split(SEPARATOR, -1)))
                     .toList();
-            long intentsLostMillis = head.length == HEAD_FIELDS ? 0 : Long.parseLong(head[3]);
-            return Optional.of(new WeightsLease(
-                    Long.parseLong(head[0]),
-                    LineField.decode(head[1]),
-                    Long.parseLong(head[2]),
-                    intents,
-                    intentsLostMillis));
+            return Optional.of(decodeHead(lines[0].split(SEPARATOR, -1), intents));
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
     }
 
+    private static WeightsLease decodeHead(String[] fields, List<OrderIntent> intents) {
+        if (fields.length < 3 || fields.length > 5) {
+            throw new IllegalArgumentException("lease has " + fields.length + " fields");
+        }
+        // Earlier versions of this program wrote no process, and the last loss of intents only if there was one.
+        String process = fields.length < 5 ? "" : LineField.decode(fields[4]);
+        long ordersLostVersion = fields.length < 4 ? 0 : Long.parseLong(fields[3]);
+        return new WeightsLease(
+                new LeaseTerm(Long.parseLong(fields[0]), LineField.decode(fields[1]), process),
+                Long.parseLong(fields[2]) == 0,
+                intents,
+                ordersLostVersion);
+    }
+
     private static OrderIntent decodeIntent(String[] fields) {
-        if (fields.length != INTENT_FIELDS) {
-            throw new IllegalArgumentException("intent does not have " + INTENT_FIELDS + " fields");
+        if (fields.length != 6 && fields.length != 8) {
+            throw new IllegalArgumentException("intent has " + fields.length + " fields");
         }
+        long recordedMillis = Long.parseLong(fields[4]);
+        // Earlier versions of this program wrote no key; each renewal of their intents counts as another order.
+        OrderKey key = fields.length == 6
+                ? new OrderKey(LineField.decode(fields[0]), 0, recordedMillis)
+                : new OrderKey(LineField.decode(fields[0]), Long.parseLong(fields[6]), Long.parseLong(fields[7]));
         return new OrderIntent(
-                LineField.decode(fields[0]),
+                key,
                 LineField.decode(fields[1]),
                 Integer.parseInt(fields[2]),
                 LineField.decode(fields[3]),
-                Long.parseLong(fields[4]),
+                recordedMillis,
                 Boolean.parseBoolean(fields[5]));
     }
 
@@ -112,9 +128,13 @@
      */
     public String encode() {
         String head = String.join(
-                SEPARATOR, String.valueOf(fencingToken), LineField.encode(holder), String.valueOf(renewedMillis));
-        String loss = intentsLostMillis == 0 ? "" : SEPARATOR + intentsLostMillis;
-        return intents.stream().map(WeightsLease::encodeIntent).collect(Collectors.joining("", head + loss, ""));
+                SEPARATOR,
+                String.valueOf(term.fencingToken()),
+                LineField.encode(term.holder()),
+                released ? RELEASED : HELD,
+                String.valueOf(ordersLostVersion),
+                LineField.encode(term.process()));
+        return intents.stream().map(WeightsLease::encodeIntent).collect(Collectors.joining("", head, ""));
     }
 
     private static String encodeIntent(OrderIntent intent) {
@@ -126,83 +146,40 @@
                         String.valueOf(intent.version()),
                         LineField.encode(intent.holder()),
                         String.valueOf(intent.recordedMillis()),
-                        String.valueOf(intent.done()));
-    }
-
-    /**
-     * Returns whether enough time has passed since the intents of other holders for a host to order a server.
-     *
-     * @param server the id of the server
-     * @param host the host that would issue the order
-     * @param nowMillis the time on the store's clock in milliseconds
-     * @param spacing the time that must pass between the intents of two holders for one server
-     * @return true if no other holder recorded an order to the server within the spacing, and none can have done so
-     *     with an intent that could not be read
-     */
-    public boolean canOrder(String server, String host, long nowMillis, Duration spacing) {
-        if (intentsLostMillis > 0 && nowMillis - intentsLostMillis <= spacing.toMillis()) {
-            return false;
-        }
-        return intents.stream()
-                .filter(intent ->
-                        intent.server().equals(server) && !intent.holder().equals(host))
-                .allMatch(intent -> nowMillis - intent.recordedMillis() > spacing.toMillis());
-    }
-
-    /**
-     * Returns whether the holder renewed the lease recently.
-     *
-     * @param nowMillis the time on the store's clock in milliseconds
-     * @param timeout how long a holder may leave the row unwritten
-     * @return true if there is a holder that wrote the row within that time
-     */
-    public boolean isFresh(long nowMillis, Duration timeout) {
-        return fencingToken > 0 && nowMillis - renewedMillis < timeout.toMillis();
-    }
-
-    /**
-     * Returns whether it is not known which host holds the lease, because the row could not be read.
-     *
-     * @return false before the first holder
-     */
-    public boolean isOfUnknownHolder() {
-        return fencingToken > 0 && holder.isEmpty();
+                        String.valueOf(intent.done()),
+                        String.valueOf(intent.key().fencingToken()),
+                        String.valueOf(intent.key().rowVersion()));
     }
 
     // -- transitions
 
     /**
-     * Returns the lease as a host writes it to renew or take it over and to record intents. A recorded intent replaces
-     * the earlier one of the same holder for the same server and model.
+     * Returns the lease as a process writes it to renew or take it over and to record intents.
      *
-     * @param host the host
-     * @param nowMillis the time on the store's clock in milliseconds
-     * @param newIntents the intents to record, those of new orders and completed ones; may be empty
-     * @param retention how long after its recording an earlier intent is kept for successors
-     * @return the next value of the row, with a higher fencing token if the holder changes
+     * @param newTerm the term of the process; the same as before if it renews the lease
+     * @param newIntents the intents to record, those of new orders and completed ones; each replaces an earlier one of
+     *     the same order, or of the same holder for the same server and model
+     * @param needed whether successors still need the intents of an order
+     * @param lossNeeded whether successors still need to know that intents were lost
+     * @return the next value of the row
      */
-    public WeightsLease renewedBy(String host, long nowMillis, List<OrderIntent> newIntents, Duration retention) {
+    public WeightsLease renewedBy(
+            LeaseTerm newTerm, List<OrderIntent> newIntents, Predicate<OrderKey> needed, boolean lossNeeded) {
         List<OrderIntent> recent = new ArrayList<>(intents.stream()
-                .filter(intent -> nowMillis - intent.recordedMillis() < retention.toMillis())
+                .filter(intent -> needed.test(intent.key()))
                 .filter(intent -> newIntents.stream().noneMatch(newIntent -> sameOrder(newIntent, intent)))
                 .toList());
         recent.addAll(newIntents);
-        boolean lossRetained = nowMillis - intentsLostMillis < retention.toMillis();
-        return new WeightsLease(
-                holder.equals(host) ? fencingToken : fencingToken + 1,
-                host,
-                nowMillis,
-                recent,
-                lossRetained ? intentsLostMillis : 0);
+        return new WeightsLease(newTerm, false, recent, lossNeeded ? ordersLostVersion : 0);
     }
 
     /**
-     * Returns the lease as its holder releases it, so that any other host can take it.
+     * Returns the lease as its holder releases it, so that any other process can take it.
      *
-     * @return a lease that is no longer fresh
+     * @return a released lease
      */
-    public WeightsLease released() {
-        return new WeightsLease(fencingToken, holder, 0, intents, intentsLostMillis);
+    public WeightsLease asReleased() {
+        return new WeightsLease(term, true, intents, ordersLostVersion);
     }
 
     private static boolean sameOrder(OrderIntent order, OrderIntent intent) {
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -11,19 +10,19 @@
 import org.junit.jupiter.api.Test;
 
 final class WeightsLeaseTest {
-    private static final Duration SPACING = Duration.ofSeconds(4);
-    private static final Duration RETENTION = Duration.ofSeconds(9);
+    private static final LeaseTerm TERM_A = new LeaseTerm(3, "host-a", "p1");
 
-    private static OrderIntent intent(String server, String holder, long recordedMillis) {
-        return new OrderIntent(server, "model", 2, holder, recordedMillis, false);
+    private static OrderIntent intent(String server, String holder, long rowVersion) {
+        return new OrderIntent(new OrderKey(server, 3, rowVersion), "model", 2, holder, 16, false);
     }
 
     @Test
     void shouldReturnEqualLeaseWhenEncodedAndDecoded() {
-        WeightsLease lease = new WeightsLease(3, "host-a", 17, List.of(intent("s1", "host-a", 16)), 0);
+        WeightsLease lease = new WeightsLease(TERM_A, false, List.of(intent("s1", "host-a", 16)), 0);
         assertThat(WeightsLease.decode(lease.encode())).contains(lease);
+        assertThat(WeightsLease.decode(lease.asReleased().encode())).contains(lease.asReleased());
         assertThat(WeightsLease.decode(WeightsLease.empty()
-                        .renewedBy("h", 1, List.of(), RETENTION)
+                        .renewedBy(TERM_A, List.of(), key -> true, true)
                         .encode()))
                 .isPresent();
     }
@@ -36,35 +35,39 @@
     }
 
     @Test
-    void shouldIncreaseFencingTokenOnlyWhenHolderChanges() {
-        WeightsLease first = WeightsLease.empty().renewedBy("host-a", 10, List.of(), RETENTION);
+    void shouldIncreaseFencingTokenWithEachTerm() {
+        LeaseTerm first = LeaseTerm.none().next("host-a", "p1", 0);
         assertThat(first.fencingToken()).isEqualTo(1);
-        assertThat(first.renewedBy("host-a", 20, List.of(), RETENTION).fencingToken())
-                .isEqualTo(1);
-        assertThat(first.renewedBy("host-b", 20, List.of(), RETENTION).fencingToken())
-                .isEqualTo(2);
+        assertThat(first.isOf("host-a", "p1")).isTrue();
+        assertThat(first.next("host-b", "p1", 0).fencingToken()).isEqualTo(2);
     }
 
     @Test
-    void shouldNotAllowOrderOfNewHolderUntilSpacingHasPassed() {
-        WeightsLease lease =
-                WeightsLease.empty().renewedBy("host-a", 1000, List.of(intent("s1", "host-a", 1000)), RETENTION);
-        assertThat(lease.canOrder("s1", "host-b", 4900, SPACING)).isFalse();
-        assertThat(lease.canOrder("s1", "host-b", 5001, SPACING)).isTrue();
-        assertThat(lease.canOrder("s1", "host-a", 1001, SPACING)).isTrue();
-        assertThat(lease.canOrder("s2", "host-b", 1001, SPACING)).isTrue();
+    void shouldNotTakeAnotherProcessOfTheSameHostForTheHolder() {
+        LeaseTerm first = LeaseTerm.none().next("host-a", "p1", 0);
+        assertThat(first.isOf("host-a", "p2")).isFalse();
+        assertThat(first.next("host-a", "p2", 0).fencingToken()).isEqualTo(2);
     }
 
+    /** Guards against tokens that start again after an earlier value of the row was put back. */
     @Test
-    void shouldKeepIntentsOfEarlierHolderUntilRetentionHasPassed() {
-        WeightsLease lease =
-                WeightsLease.empty().renewedBy("host-a", 1000, List.of(intent("s1", "host-a", 1000)), RETENTION);
-        WeightsLease successorLease = lease.renewedBy("host-b", 2000, List.of(intent("s2", "host-b", 2000)), RETENTION);
-        assertThat(successorLease.canOrder("s1", "host-b", 2001, SPACING)).isFalse();
-        assertThat(successorLease
-                        .renewedBy("host-b", 11_000, List.of(), RETENTION)
+    void shouldChooseATokenAboveAllThatTheRowCanHaveHeld() {
+        assertThat(new LeaseTerm(3, "host-a", "p1").next("host-b", "p1", 40).fencingToken())
+                .isEqualTo(40);
+        assertThat(new LeaseTerm(40, "host-a", "p1").next("host-b", "p1", 40).fencingToken())
+                .isEqualTo(41);
+    }
+
+    @Test
+    void shouldKeepIntentsThatSuccessorsNeed() {
+        OrderIntent first = intent("s1", "host-a", 1);
+        WeightsLease lease = WeightsLease.empty().renewedBy(TERM_A, List.of(first), key -> true, false);
+        LeaseTerm termB = TERM_A.next("host-b", "p1", 0);
+        assertThat(lease.renewedBy(termB, List.of(intent("s2", "host-b", 2)), key -> true, false)
                         .intents())
-                .hasSize(0);
+                .containsExactly(first, intent("s2", "host-b", 2));
+        assertThat(lease.renewedBy(termB, List.of(), key -> false, false).intents())
+                .isEmpty();
     }
 
     // -- names that others choose
@@ -73,35 +76,36 @@
     @Property(tries = 1000)
     void shouldReturnEqualLeaseWhateverTheNamesHold(
             @ForAll String server, @ForAll String model, @ForAll String holder, @ForAll @LongRange(min = 0) long lost) {
-        OrderIntent first = new OrderIntent(server, model, 3, holder, 5, true);
-        OrderIntent second = new OrderIntent(model, holder, 4, server, 6, false);
-        WeightsLease lease = new WeightsLease(9, holder, 17, List.of(first, second), lost);
+        OrderIntent first = new OrderIntent(new OrderKey(server, 9, lost), model, 3, holder, 5, true);
+        OrderIntent second = new OrderIntent(new OrderKey(model, 8, 7), holder, 4, server, 6, false);
+        WeightsLease lease =
+                new WeightsLease(new LeaseTerm(9, holder, server), lost % 2 == 0, List.of(first, second), lost);
         String stored = new String(lease.encode().getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8);
         assertThat(WeightsLease.decode(stored)).contains(lease);
     }
 
     @Test
     void shouldReadRowsThatWereWrittenBeforeNamesWereEncoded() {
-        OrderIntent intent = new OrderIntent("server-1", "50%", 3, "front-a-1", 99, false);
+        OrderIntent intent = new OrderIntent(new OrderKey("server-1", 0, 99), "50%", 3, "front-a-1", 99, false);
+        LeaseTerm term = new LeaseTerm(7, "front-a-1", "");
         assertThat(WeightsLease.decode("7 front-a-1 12\nserver-1 50% 3 front-a-1 99 false"))
-                .contains(new WeightsLease(7, "front-a-1", 12, List.of(intent), 0));
-        assertThat(WeightsLease.decode("0  0")).contains(WeightsLease.empty());
+                .contains(new WeightsLease(term, false, List.of(intent), 0));
+        assertThat(WeightsLease.decode("7 front-a-1 0 55")).contains(new WeightsLease(term, true, List.of(), 55));
+        assertThat(WeightsLease.decode("0  0")).contains(WeightsLease.empty().asReleased());
         assertThat(WeightsLease.decode("7 front-a-1 12\ns Walia LLM 3 front-a-1 99 false"))
                 .isEmpty();
     }
 
     @Test
-    void shouldNotAllowAnyOrderAfterAnUnreadableRowUntilSpacingHasPassed() {
-        WeightsLease lease = WeightsLease.ofUnreadableRow(40, 1000);
-        assertThat(lease.isOfUnknownHolder()).isTrue();
-        assertThat(lease.isFresh(2999, Duration.ofSeconds(2))).isTrue();
-        assertThat(lease.isFresh(3000, Duration.ofSeconds(2))).isFalse();
-        WeightsLease taken = lease.renewedBy("host-b", 3000, List.of(), RETENTION);
-        assertThat(taken.fencingToken()).isEqualTo(41);
-        assertThat(taken.canOrder("s1", "host-b", 5000, SPACING)).isFalse();
+    void shouldTellSuccessorsThatIntentsWereLostWhileTheyNeedIt() {
+        WeightsLease lease = WeightsLease.ofUnreadableRow(40);
+        assertThat(lease.term().isOfUnknownHolder()).isTrue();
+        LeaseTerm term = lease.term().next("host-b", "p1", 40);
+        assertThat(term.fencingToken()).isEqualTo(41);
+        WeightsLease taken = lease.renewedBy(term, List.of(), key -> true, true);
+        assertThat(taken.ordersLostVersion()).isEqualTo(40);
         assertThat(WeightsLease.decode(taken.encode())).contains(taken);
-        assertThat(taken.canOrder("s1", "host-b", 5001, SPACING)).isTrue();
-        assertThat(taken.renewedBy("host-b", 10_000, List.of(), RETENTION).intentsLostMillis())
+        assertThat(taken.renewedBy(term, List.of(), key -> true, false).ordersLostVersion())
                 .isZero();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -0,0 +1,223 @@
+package org.geraniumford.daemon.weights;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.geraniumford.core.time.LocalClock;
+import org.geraniumford.core.weights.LeaseRow;
+import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseTerm;
+import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.OrderSightings;
+import org.geraniumford.core.weights.WeightsLease;
+import org.geraniumford.transport.log.LogEvent;
+
+/**
+ * What this process knows of the weights lease: the newest state of its row, and when the row and each order in it were
+ * first seen, on the local clock. Used on one network thread.
+ */
+final class KnownLease {
+    /** How long a holder may leave the row unwritten, while servers are outdated, before another entry takes over. */
+    private static final Duration LEASE_TIMEOUT = Duration.ofSeconds(2);
+
+    /** How long a lease that is not renewed is announced to peers. */
+    private static final Duration GOSSIP_LIFETIME = Duration.ofSeconds(6);
+
+    private final String host;
+    private final String process;
+    private final LocalClock clock;
+    private final OrderSightings sightings;
+
+    /** How much longer than their spacing intents stay in the row. */
+    private final Duration extraRetention;
+
+    private WeightsLease lease = WeightsLease.empty();
+
+    /** The version that the next write expects; 0 if the row does not exist. */
+    private long rowVersion;
+
+    /** The newest version, of the row or of the store, as of which the row is known. */
+    private long knownVersion;
+
+    /** When the state of the row was learned, from {@link LocalClock#nanos}. */
+    private long learnedNanos;
+
+    private boolean known;
+
+    /**
+     * Creates the knowledge of a process that has not seen the row.
+     *
+     * @param host the name of this host
+     * @param process identifies this process on its host
+     * @param clock the local clock
+     * @param orderSpacing the time between orders of two terms to one server
+     * @param extraRetention how much longer than the spacing intents stay in the row
+     */
+    KnownLease(String host, String process, LocalClock clock, Duration orderSpacing, Duration extraRetention) {
+        this.host = host;
+        this.process = process;
+        this.clock = clock;
+        this.sightings = OrderSightings.of(orderSpacing);
+        this.extraRetention = extraRetention;
+    }
+
+    // -- queries
+
+    /** Returns whether the row was read or heard of. */
+    boolean isKnown() {
+        return known;
+    }
+
+    /**
+     * Returns whether the row does not exist. It is then written even if there is nothing to order, so that a row that
+     * is missing later was removed.
+     */
+    boolean isRowMissing() {
+        return known && rowVersion == 0;
+    }
+
+    WeightsLease lease() {
+        return lease;
+    }
+
+    long rowVersion() {
+        return rowVersion;
+    }
+
+    /** Returns whether the current term is this process's own. */
+    boolean isOwn() {
+        return lease.term().isOf(host, process);
+    }
+
+    /** Returns whether some process holds the lease, and the row has changed recently. */
+    boolean isFresh() {
+        return lease.term().fencingToken() > 0 && !lease.released() && age().compareTo(LEASE_TIMEOUT) < 0;
+    }
+
+    /** Returns how long ago the state of the row was learned. */
+    Duration age() {
+        return Duration.ofNanos(clock.nanos() - learnedNanos);
+    }
+
+    /** Returns the row to announce to peers; empty if it has not changed within the last 6 s. */
+    LeaseSnapshot gossip() {
+        boolean current = rowVersion > 0 && age().compareTo(GOSSIP_LIFETIME) < 0;
+        return current ? new LeaseSnapshot(rowVersion, lease.encode()) : LeaseSnapshot.empty();
+    }
+
+    /** Returns the term in which this process writes the row next. */
+    LeaseTerm nextTerm() {
+        return isOwn() ? lease.term() : lease.term().next(host, process, knownVersion);
+    }
+
+    /** Returns the version that identifies the orders of the next write. */
+    long nextOrderVersion() {
+        return knownVersion;
+    }
+
+    /** Returns whether an order of a term may be recorded now, as far as the orders of other terms are concerned. */
+    boolean allowsOrder(String server, LeaseTerm term) {
+        return sightings.allowsOrder(server, term.fencingToken(), clock.nanos());
+    }
+
+    /** Returns the row as this process writes it to renew or take over the lease and to record intents. */
+    WeightsLease renewedWith(LeaseTerm term, List<OrderIntent> newIntents) {
+        long nowNanos = clock.nanos();
+        return lease.renewedBy(
+                term,
+                newIntents,
+                order -> sightings.isNeeded(order, extraRetention, nowNanos),
+                sightings.isLossNeeded(nowNanos));
+    }
+
+    /** Returns the orders of other terms that hold back orders of a term, for the log. */
+    String heldBackServers(LeaseTerm term) {
+        return lease.intents().stream()
+                .filter(intent -> !allowsOrder(intent.server(), term))
+                .map(intent -> intent.server() + ':' + intent.key().fencingToken())
+                .collect(Collectors.joining(","));
+    }
+
+    // -- commands
+
+    /**
+     * Applies the row as a peer announced it, if it is newer and can be read.
+     *
+     * @return whether it was applied
+     */
+    boolean applyGossip(LeaseSnapshot snapshot) {
+        if (snapshot.version() <= knownVersion) {
+            return false;
+        }
+        Optional<WeightsLease> announced = WeightsLease.decode(snapshot.encodedLease());
+        announced.ifPresent(newLease -> adopt(newLease, snapshot.version(), snapshot.version()));
+        return announced.isPresent();
+    }
+
+    /**
+     * Applies the row as the store returned it, so that the next write expects its version whatever it holds. A read
+     * that began before the known state was learned does not replace it by an older one.
+     *
+     * @param row the row
+     * @param readNanos when the read began, from {@link LocalClock#nanos}
+     * @return whether it was applied
+     */
+    boolean applyRead(LeaseRow row, long readNanos) {
+        long version = row.snapshot().version();
+        boolean unchanged = known && version == rowVersion;
+        boolean outdated = known && version < knownVersion && readNanos - learnedNanos < 0;
+        if (unchanged) {
+            knownVersion = Math.max(knownVersion, row.storeVersion());
+        }
+        if (unchanged || outdated) {
+            return false;
+        }
+        if (row.snapshot().isEmpty()) {
+            adopt(WeightsLease.ofMissingRow(row.storeVersion()), 0, row.storeVersion());
+        } else {
+            adopt(decode(row.snapshot()), version, version);
+        }
+        return true;
+    }
+
+    private static WeightsLease decode(LeaseSnapshot row) {
+        return WeightsLease.decode(row.encodedLease()).orElseGet(() -> {
+            LogEvent.of("lease_unreadable")
+                    .with("row", row.version())
+                    .with("value", LogEvent.limited(row.encodedLease()))
+                    .warn();
+            return WeightsLease.ofUnreadableRow(row.version());
+        });
+    }
+
+    /**
+     * Applies the row as this process has written it.
+     *
+     * @return false if a newer state was learned while the write was in progress
+     */
+    boolean applyWritten(WeightsLease written, long newRowVersion) {
+        if (newRowVersion <= knownVersion) {
+            return false;
+        }
+        adopt(written, newRowVersion, newRowVersion);
+        return true;
+    }
+
+    private void adopt(WeightsLease newLease, long newRowVersion, long newKnownVersion) {
+        boolean putBack = newLease.term().fencingToken() < lease.term().fencingToken();
+        if (putBack) {
+            LogEvent.of("lease_put_back")
+                    .with("row", newRowVersion)
+                    .with("fence", newLease.term().fencingToken())
+                    .with("known_fence", lease.term().fencingToken())
+                    .warn();
+        }
+        lease = putBack ? WeightsLease.ofUnreadableRow(newKnownVersion) : newLease;
+        rowVersion = newRowVersion;
+        knownVersion = newKnownVersion;
+        learnedNanos = clock.nanos();
+        known = true;
+        sightings.observe(lease, learnedNanos);
+    }
+}
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/LeaseStore.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/LeaseStore.java
@@ -2,7 +2,7 @@
 
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.WeightsLease;
 
 /** Access to the row of the store that holds the weights lease. Futures complete on the network thread. */
@@ -10,9 +10,9 @@
     /**
      * Reads the row.
      *
-     * @return the row's value and version; an empty snapshot if the row does not exist
+     * @return the row, and as of which version of the store
      */
-    CompletableFuture<LeaseSnapshot> read();
+    CompletableFuture<LeaseRow> read();
 
     /**
      * Writes the row if it has the expected version.
@@ -24,7 +24,7 @@
     CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease);
 
     /**
-     * Returns the time on the store's clock.
+     * Returns an estimate of the time on the store's clock, which may be seconds behind.
      *
      * @return the time in milliseconds, advanced by the local clock since the store's last response
      */
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -4,17 +4,20 @@
 import java.util.List;
 import java.util.Set;
 import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.time.LocalClock;
+import org.geraniumford.core.weights.LeaseTerm;
 import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.OrderKey;
 import org.geraniumford.core.weights.RolloutCandidate;
 import org.geraniumford.core.weights.RolloutPlan;
-import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
 
 /** Determines which servers have outdated weights and which of them are ordered next. Changes nothing. */
 final class OrderPlanner {
     private final String host;
     private final GatewayState state;
-    private final Duration orderSpacing;
+    private final KnownLease known;
+    private final LocalClock clock;
     private final Duration maxStaleness;
 
     /**
@@ -22,13 +25,15 @@
      *
      * @param host the name of this host, the holder in the planned intents
      * @param state the servers and the published weights
-     * @param orderSpacing the minimum time between an intent of another holder and one of this host for the same server
+     * @param known the lease, with the orders of other terms
+     * @param clock the local clock
      * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
      */
-    OrderPlanner(String host, GatewayState state, Duration orderSpacing, Duration maxStaleness) {
+    OrderPlanner(String host, GatewayState state, KnownLease known, LocalClock clock, Duration maxStaleness) {
         this.host = host;
         this.state = state;
-        this.orderSpacing = orderSpacing;
+        this.known = known;
+        this.clock = clock;
         this.maxStaleness = maxStaleness;
     }
 
@@ -45,17 +50,16 @@
     /**
      * Returns the intents of the orders to issue next, for all models.
      *
-     * @param lease the lease as last known, with the intents of earlier orders
+     * @param term the term in which the orders will be issued
      * @param pendingServers the ids of the servers with an order of this host that has not ended
      * @param loadTime how long one server takes to drain and load
      * @param storeNowMillis the current time, in milliseconds on the store's clock
      */
-    List<OrderIntent> planOrders(
-            WeightsLease lease, Set<String> pendingServers, Duration loadTime, long storeNowMillis) {
+    List<OrderIntent> planOrders(LeaseTerm term, Set<String> pendingServers, Duration loadTime, long storeNowMillis) {
         return state.publishedWeights().entrySet().stream()
                 .flatMap(entry ->
                         planModelOrders(
-                                entry.getKey(), entry.getValue(), lease, pendingServers, loadTime, storeNowMillis)
+                                entry.getKey(), entry.getValue(), term, pendingServers, loadTime, storeNowMillis)
                                 .stream())
                 .toList();
     }
@@ -63,7 +67,7 @@
     private List<OrderIntent> planModelOrders(
             String model,
             int version,
-            WeightsLease lease,
+            LeaseTerm term,
             Set<String> pendingServers,
             Duration loadTime,
             long storeNowMillis) {
@@ -72,18 +76,23 @@
                 .filter(server -> !server.server().leaving())
                 .filter(server -> isOutdated(server, model, version))
                 .filter(server -> !pendingServers.contains(server.server().id()))
-                .filter(server ->
-                        !server.reachability().isSuspended(System.nanoTime()) && !server.isLoading(System.nanoTime()))
-                .filter(server -> !server.pause().isPaused(System.nanoTime()))
-                .filter(server -> lease.canOrder(server.server().id(), host, storeNowMillis, orderSpacing))
+                .filter(server -> !server.reachability().isSuspended(clock.nanos()) && !server.isLoading(clock.nanos()))
+                .filter(server -> !server.pause().isPaused(clock.nanos()))
+                .filter(server -> known.allowsOrder(server.server().id(), term))
                 .map(server -> candidate(server, model))
                 .toList();
         List<String> loadingDomains = servers.stream()
-                .filter(server -> pendingServers.contains(server.server().id()) || server.isLoading(System.nanoTime()))
+                .filter(server -> pendingServers.contains(server.server().id()) || server.isLoading(clock.nanos()))
                 .map(server -> server.server().failureDomain())
                 .toList();
         return RolloutPlan.selectServers(candidates, loadingDomains, servers.size(), loadTime).stream()
-                .map(candidate -> new OrderIntent(candidate.server(), model, version, host, storeNowMillis, false))
+                .map(candidate -> new OrderIntent(
+                        new OrderKey(candidate.server(), term.fencingToken(), known.nextOrderVersion()),
+                        model,
+                        version,
+                        host,
+                        storeNowMillis,
+                        false))
                 .toList();
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -2,9 +2,10 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import org.geraniumford.core.fleet.ServerState;
+import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.daemon.gateway.ServerLimits;
@@ -28,12 +29,12 @@
     private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(6);
 
     private final EngineAdmin engines;
+    private final LocalClock clock;
     private final ServerLimits limits;
     private final BooleanSupplier leaseHeld;
-    private final Consumer<OrderIntent> loadedListener;
+    private final BiConsumer<OrderIntent, Duration> loadedListener;
     private final ServerState server;
     private final OrderIntent intent;
-    private final long fencingToken;
     private final IssueWindow issueWindow;
     private boolean reportPending;
     private boolean ended;
@@ -44,27 +45,28 @@
      *
      * @param server the engine
      * @param intent the intent as it was written into the lease
-     * @param fencingToken the fencing token of the lease
      * @param issueWindow the time in which the order may be issued, opened when the write of the intent began
      * @param engines the client that sends orders to engines
+     * @param clock the clocks of this process
      * @param limits the limits of servers, which reports and orders count against
      * @param leaseHeld returns whether this host still holds the lease
-     * @param loadedListener receives the completed intent once the engine has loaded the weights
+     * @param loadedListener receives the completed intent, and the time since its write began, once the engine has
+     *     loaded the weights
      */
     PendingOrder(
             ServerState server,
             OrderIntent intent,
-            long fencingToken,
             IssueWindow issueWindow,
             EngineAdmin engines,
+            LocalClock clock,
             ServerLimits limits,
             BooleanSupplier leaseHeld,
-            Consumer<OrderIntent> loadedListener) {
+            BiConsumer<OrderIntent, Duration> loadedListener) {
         this.server = server;
         this.intent = intent;
-        this.fencingToken = fencingToken;
         this.issueWindow = issueWindow;
         this.engines = engines;
+        this.clock = clock;
         this.limits = limits;
         this.leaseHeld = leaseHeld;
         this.loadedListener = loadedListener;
@@ -81,7 +83,7 @@
     }
 
     boolean isFinished() {
-        return ended || System.nanoTime() - issueWindow.startNanos() > ORDER_TIMEOUT.toNanos();
+        return ended || sinceWrite().compareTo(ORDER_TIMEOUT) > 0;
     }
 
     // -- commands
@@ -108,27 +110,18 @@
     }
 
     private void issue(long expectedSequence) {
-        if (!leaseHeld.getAsBoolean() || !issueWindow.isOpen(System.nanoTime(), System.currentTimeMillis())) {
+        if (!isPermitted()) {
             fail();
             return;
         }
-        WeightsOrder order =
-                new WeightsOrder(intent.model(), intent.version(), intent.holder(), fencingToken, expectedSequence);
+        WeightsOrder order = new WeightsOrder(
+                intent.model(), intent.version(), intent.holder(), intent.key().fencingToken(), expectedSequence);
         limits.recordUse(server);
-        LogEvent.of("order_sent")
-                .with("server", intent.server())
-                .with("fence", fencingToken)
-                .with("recorded_ms", intent.recordedMillis())
-                .with(
-                        "since_write_ms",
-                        Duration.ofNanos(System.nanoTime() - issueWindow.startNanos())
-                                .toMillis())
-                .info();
-        engines.order(server.server(), order).whenComplete((accepted, failure) -> {
+        engines.order(server.server(), order, this::permitSending).whenComplete((accepted, failure) -> {
             LogEvent.of("weights_ordered")
                     .with("server", intent.server())
                     .with("version", intent.version())
-                    .with("fence", fencingToken)
+                    .with("fence", intent.key().fencingToken())
                     .with("sequence", expectedSequence)
                     .with("outcome", failure == null ? accepted : failure)
                     .info();
@@ -138,23 +131,43 @@
         });
     }
 
+    private boolean isPermitted() {
+        return leaseHeld.getAsBoolean() && issueWindow.isOpen(clock);
+    }
+
+    /** Decides when the bytes of the order are about to be written. */
+    private boolean permitSending() {
+        boolean permitted = isPermitted();
+        LogEvent.of(permitted ? "order_sent" : "order_withheld")
+                .with("server", intent.server())
+                .with("fence", intent.key().fencingToken())
+                .with("row", intent.key().rowVersion())
+                .with("since_write_ms", sinceWrite().toMillis())
+                .info();
+        return permitted;
+    }
+
+    private Duration sinceWrite() {
+        return Duration.ofNanos(clock.nanos() - issueWindow.startNanos());
+    }
+
     /** Completes the order if the weights are known to be loaded; otherwise requests a report when one is due. */
     void poll() {
         if (server.weightsVersion(intent.model()).orElse(0) >= intent.version()) {
             complete("listed");
-        } else if (isReportDue() && limits.hasRoom(server) && !server.pause().isPaused(System.nanoTime())) {
+        } else if (isReportDue() && limits.hasRoom(server) && !server.pause().isPaused(clock.nanos())) {
             requestReport().thenAccept(this::completeIfLoaded);
         }
     }
 
     private boolean isReportDue() {
-        return !reportPending && System.nanoTime() - reportRequestedNanos > REPORT_INTERVAL.toNanos();
+        return !reportPending && clock.nanos() - reportRequestedNanos > REPORT_INTERVAL.toNanos();
     }
 
     private CompletableFuture<EngineReport> requestReport() {
         limits.recordUse(server);
         reportPending = true;
-        reportRequestedNanos = System.nanoTime();
+        reportRequestedNanos = clock.nanos();
         return engines.report(server.server()).whenComplete((report, failure) -> {
             reportPending = false;
             if (failure != null) {
@@ -180,7 +193,7 @@
             return;
         }
         ended = true;
-        loadedListener.accept(intent.asDone());
+        loadedListener.accept(intent.asDone(), sinceWrite());
         LogEvent.of("weights_loaded")
                 .with("server", intent.server())
                 .with("version", intent.version())
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -20,8 +21,8 @@
     private static final double LOAD_TIME_SMOOTHING = 0.2;
 
     private final GatewayState state;
-    private final LeaseStore leaseStore;
     private final EngineAdmin engines;
+    private final LocalClock clock;
     private final BooleanSupplier leaseHeld;
     private final Map<String, PendingOrder> orders = new HashMap<>();
     private final List<OrderIntent> completedIntents = new ArrayList<>();
@@ -33,14 +34,14 @@
      * Creates an empty set of orders.
      *
      * @param state the servers
-     * @param leaseStore the clock of the intents
      * @param engines the client that sends orders to engines
+     * @param clock the clocks of this process
      * @param leaseHeld returns whether this host holds the lease
      */
-    PendingOrders(GatewayState state, LeaseStore leaseStore, EngineAdmin engines, BooleanSupplier leaseHeld) {
+    PendingOrders(GatewayState state, EngineAdmin engines, LocalClock clock, BooleanSupplier leaseHeld) {
         this.state = state;
-        this.leaseStore = leaseStore;
         this.engines = engines;
+        this.clock = clock;
         this.leaseHeld = leaseHeld;
     }
 
@@ -75,28 +76,20 @@
      * Issues an order to its server if the server is known.
      *
      * @param intent the intent as it was written into the lease
-     * @param fencingToken the fencing token of the lease
      * @param issueWindow the time in which the order may be issued, opened when the write of the intent began
      */
-    void issue(OrderIntent intent, long fencingToken, IssueWindow issueWindow) {
+    void issue(OrderIntent intent, IssueWindow issueWindow) {
         state.directory().find(intent.server()).ifPresent(server -> {
             PendingOrder order = new PendingOrder(
-                    server,
-                    intent,
-                    fencingToken,
-                    issueWindow,
-                    engines,
-                    state.serverLimits(),
-                    leaseHeld,
-                    this::recordLoaded);
+                    server, intent, issueWindow, engines, clock, state.serverLimits(), leaseHeld, this::recordLoaded);
             orders.put(intent.server(), order);
             order.start();
         });
     }
 
-    private void recordLoaded(OrderIntent intent) {
+    private void recordLoaded(OrderIntent intent, Duration elapsed) {
         completedIntents.add(intent);
-        long elapsedMillis = Math.max(0, leaseStore.nowMillis() - intent.recordedMillis());
+        long elapsedMillis = elapsed.toMillis();
         loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -5,10 +5,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
+import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseTerm;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -19,9 +20,6 @@
  * one row of the store, ensures that only one of them acts. Runs on one network thread.
  */
 public final class RolloutController {
-    /** How long a holder may leave the row unwritten, while servers are outdated, before another entry takes over. */
-    private static final Duration LEASE_TIMEOUT = Duration.ofSeconds(2);
-
     /** How often a holder writes the row while servers are outdated. */
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
 
@@ -31,9 +29,6 @@
     /** How long a server is avoided after an order if nothing newer is known about it. */
     private static final Duration ESTIMATED_LOADING_TIME = Duration.ofSeconds(5);
 
-    /** How long a lease that is not renewed is announced to peers. */
-    private static final Duration LEASE_GOSSIP_LIFETIME = Duration.ofSeconds(6);
-
     /**
      * Added to {@link #WRITE_INTERVAL} after a failed read or write of the row. If the failed write took effect after
      * all, the next write finds another version, and the row is read again.
@@ -46,22 +41,18 @@
     /** The minimum time between two writes of the row. */
     private static final Duration WRITE_INTERVAL = Duration.ofMillis(250);
 
+    /** Covers the drift between the clocks of two hosts during the spacing of orders. */
+    private static final Duration SPACING_MARGIN = Duration.ofMillis(200);
+
     private final String host;
     private final GatewayState state;
     private final LeaseStore leaseStore;
-    /**
-     * The minimum time between an intent of another holder and an intent of this one for the same server. It is longer
-     * than the handover delay, because the earlier order may be issued until the end of its issue window. Includes a
-     * margin of 500 ms.
-     */
-    private final Duration orderSpacing;
-
+    private final LocalClock clock;
+    private final KnownLease known;
     private final OrderPlanner planner;
     private final PendingOrders pendingOrders;
     private final RandomGenerator random;
 
-    private WeightsLease lease = WeightsLease.empty();
-    private long rowVersion;
     /** Whether the row was read after this host last decided to take over the lease. */
     private boolean rowRead;
 
@@ -71,13 +62,13 @@
     private long storeCallNanos;
 
     private boolean stopped;
-    /** When this host may take over the lease, from {@link System#nanoTime}, if a takeover is pending. */
+    /** When this host may take over the lease, from {@link LocalClock#nanos}, if a takeover is pending. */
     private long takeoverNanos;
 
     private boolean takeoverPending;
     /**
-     * When the last write of the row began, from {@link System#nanoTime}. After a failed read or write, a time later by
-     * {@link #WRITE_BACKOFF}, which delays the next read or write.
+     * When the last write of the row began, from {@link LocalClock#nanos}. After a failed read or write, a time later
+     * by {@link #WRITE_BACKOFF}, which delays the next read or write.
      */
     private long lastWriteNanos;
 
@@ -86,16 +77,22 @@
             GatewayState state,
             LeaseStore leaseStore,
             EngineAdmin engines,
-            Duration leaseHandoverDelay,
-            Duration maxStaleness,
+            RolloutTimes times,
+            LocalClock clock,
             RandomGenerator random) {
         this.host = host;
         this.state = state;
         this.leaseStore = leaseStore;
-        this.orderSpacing = leaseHandoverDelay.plus(PendingOrder.ISSUE_WINDOW).plusMillis(500);
-        this.planner = new OrderPlanner(host, state, orderSpacing, maxStaleness);
-        this.pendingOrders = new PendingOrders(state, leaseStore, engines, this::holdsLease);
+        this.clock = clock;
         this.random = random;
+        Duration orderSpacing = times.leaseHandoverDelay()
+                .plus(PendingOrder.ISSUE_WINDOW)
+                .plus(EngineAdmin.DELIVERY_TIME)
+                .plus(SPACING_MARGIN);
+        this.known =
+                new KnownLease(host, Long.toHexString(random.nextLong()), clock, orderSpacing, ESTIMATED_LOADING_TIME);
+        this.planner = new OrderPlanner(host, state, known, clock, times.maxStaleness());
+        this.pendingOrders = new PendingOrders(state, engines, clock, () -> !stopped && known.isOwn());
     }
 
     // -- construction
@@ -107,9 +104,9 @@
      * @param state the servers and the published weights
      * @param leaseStore the row that holds the weights lease
      * @param engines the client that sends orders to engines
-     * @param leaseHandoverDelay the time that must pass between orders of two holders to one server
-     * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
-     * @param random the source of the random delay before a takeover
+     * @param times the bounds that the rollout must keep
+     * @param clock the clocks of this process
+     * @param random the source of this process's identity and of the random delay before a takeover
      * @return a controller that acts on {@link #tick}
      */
     public static RolloutController of(
@@ -117,16 +114,16 @@
             GatewayState state,
             LeaseStore leaseStore,
             EngineAdmin engines,
-            Duration leaseHandoverDelay,
-            Duration maxStaleness,
+            RolloutTimes times,
+            LocalClock clock,
             RandomGenerator random) {
         return new RolloutController(
                 requireNonNull(host, "host is null"),
                 requireNonNull(state, "state is null"),
                 requireNonNull(leaseStore, "leaseStore is null"),
                 requireNonNull(engines, "engines is null"),
-                requireNonNull(leaseHandoverDelay, "leaseHandoverDelay is null"),
-                requireNonNull(maxStaleness, "maxStaleness is null"),
+                requireNonNull(times, "times is null"),
+                requireNonNull(clock, "clock is null"),
                 requireNonNull(random, "random is null"));
     }
 
@@ -138,38 +135,16 @@
      * @param snapshot the row as a peer announced it
      */
     public void applyLeaseSnapshot(LeaseSnapshot snapshot) {
-        if (snapshot.version() > rowVersion) {
-            WeightsLease.decode(snapshot.encodedLease())
-                    .ifPresent(newLease -> adoptLease(newLease, snapshot.version()));
+        if (known.applyGossip(snapshot)) {
+            leaseChanged();
         }
     }
 
-    /** Applies the row as the store returned it, so that the next write expects its version whatever it holds. */
-    private void applyRow(LeaseSnapshot row) {
-        if (row.isEmpty()) {
-            rowVersion = 0;
-        } else if (row.version() > rowVersion) {
-            adoptLease(readLease(row), row.version());
-        }
-    }
-
-    private WeightsLease readLease(LeaseSnapshot row) {
-        return WeightsLease.decode(row.encodedLease()).orElseGet(() -> {
-            LogEvent.of("lease_unreadable")
-                    .with("row", row.version())
-                    .with("value", LogEvent.limited(row.encodedLease()))
-                    .warn();
-            return WeightsLease.ofUnreadableRow(row.version(), leaseStore.nowMillis());
-        });
-    }
-
-    private void adoptLease(WeightsLease newLease, long newRowVersion) {
-        lease = newLease;
-        rowVersion = newRowVersion;
-        if (!newLease.holder().equals(host)) {
+    private void leaseChanged() {
+        if (!known.isOwn()) {
             pendingOrders.clear();
         }
-        newLease.intents().forEach(this::applyIntent);
+        known.lease().intents().forEach(this::applyIntent);
     }
 
     /**
@@ -183,7 +158,7 @@
                 server.recordWeightsVersion(intent.model(), intent.version());
             } else if (ageMillis < ESTIMATED_LOADING_TIME.toMillis()
                     && server.weightsVersion(intent.model()).orElse(0) < intent.version()) {
-                server.markLoading(System.nanoTime()
+                server.markLoading(clock.nanos()
                         + ESTIMATED_LOADING_TIME
                                 .minusMillis(Math.max(0, ageMillis))
                                 .toNanos());
@@ -196,19 +171,16 @@
     /**
      * Returns the lease row to announce to peers.
      *
-     * @return the row if it was renewed within the last 6 s, else an empty snapshot
+     * @return the row if it has changed within the last 6 s, else an empty snapshot
      */
     public LeaseSnapshot leaseGossip() {
-        boolean current = leaseStore.nowMillis() - lease.renewedMillis() < LEASE_GOSSIP_LIFETIME.toMillis();
-        return current ? new LeaseSnapshot(rowVersion, lease.encode()) : LeaseSnapshot.empty();
-    }
-
-    private boolean holdsLease() {
-        return lease.holder().equals(host);
+        return known.gossip();
     }
 
+    /** Returns whether the holder may still act; another process of this host may be one that has not ended yet. */
     private boolean isHolderAlive() {
-        return lease.isOfUnknownHolder() || state.isPeerAlive(lease.holder());
+        LeaseTerm term = known.lease().term();
+        return term.isOfUnknownHolder() || term.holder().equals(host) || state.isPeerAlive(term.holder());
     }
 
     // -- commands
@@ -219,12 +191,16 @@
      */
     public void stop() {
         stopped = true;
-        if (holdsLease() && planner.hasOutdatedServers()) {
-            leaseStore
-                    .write(rowVersion, lease.released())
-                    .whenComplete((newRowVersion, failure) -> LogEvent.of("lease_released")
-                            .with("outcome", failure == null ? newRowVersion : failure)
-                            .info());
+        if (known.isOwn() && planner.hasOutdatedServers()) {
+            WeightsLease released = known.lease().asReleased();
+            leaseStore.write(known.rowVersion(), released).whenComplete((newRowVersion, failure) -> {
+                if (failure == null && newRowVersion.isPresent()) {
+                    known.applyWritten(released, newRowVersion.getAsLong());
+                }
+                LogEvent.of("lease_released")
+                        .with("outcome", failure == null ? newRowVersion : failure)
+                        .info();
+            });
         }
     }
 
@@ -234,45 +210,55 @@
             return;
         }
         pendingOrders.poll();
-        dropLostStoreCall(System.nanoTime());
-        boolean hasOutdatedServers = planner.hasOutdatedServers();
+        dropLostStoreCall(clock.nanos());
+        boolean mustHoldLease = planner.hasOutdatedServers() || known.isRowMissing();
         boolean hasCompletedIntents = !pendingOrders.completedIntents().isEmpty();
-        if (!storeCallPending && (hasOutdatedServers || hasCompletedIntents)) {
-            reconcile();
-        } else if (!hasOutdatedServers) {
+        if (!mustHoldLease) {
             takeoverPending = false;
         }
+        if (storeCallPending || clock.nanos() - lastWriteNanos < WRITE_INTERVAL.toNanos()) {
+            return;
+        }
+        if (!known.isKnown()) {
+            readRow();
+        } else if (mustHoldLease || hasCompletedIntents) {
+            reconcile();
+        }
     }
 
     /**
-     * Renews the lease and writes intents if this host holds it. Otherwise takes it over once it is not fresh or its
+     * Renews the lease and writes intents if this process holds it. Otherwise takes it over once it is not fresh or its
      * holder is not alive: waits for a random delay, reads the row, and then writes it.
      */
     private void reconcile() {
-        long nowNanos = System.nanoTime();
-        boolean holdsLease = holdsLease();
-        if (!holdsLease && lease.isFresh(leaseStore.nowMillis(), LEASE_TIMEOUT) && isHolderAlive()) {
+        if (known.isOwn()) {
+            writeIntents();
+        } else if (known.isFresh() && isHolderAlive()) {
             takeoverPending = false;
-            return;
+        } else {
+            takeOver();
         }
-        if (!holdsLease && !takeoverPending) {
+    }
+
+    private void takeOver() {
+        if (!takeoverPending) {
             takeoverPending = true;
             rowRead = false;
-            takeoverNanos = nowNanos + (long) (MAX_TAKEOVER_JITTER.toNanos() * random.nextDouble());
+            takeoverNanos = clock.nanos() + (long) (MAX_TAKEOVER_JITTER.toNanos() * random.nextDouble());
         }
-        if ((!holdsLease && nowNanos - takeoverNanos < 0) || nowNanos - lastWriteNanos < WRITE_INTERVAL.toNanos()) {
+        if (clock.nanos() - takeoverNanos < 0) {
             return;
         }
-        if (holdsLease || rowRead) {
-            writeIntents(nowNanos);
+        if (rowRead) {
+            writeIntents();
         } else {
             readRow();
         }
     }
 
-    private void markStoreCall(long nowNanos) {
+    private void markStoreCall() {
         storeCallPending = true;
-        storeCallNanos = nowNanos;
+        storeCallNanos = clock.nanos();
     }
 
     /** Gives up a call of the store whose result was never handled, so that this controller goes on. */
@@ -280,81 +266,86 @@
         if (storeCallPending && nowNanos - storeCallNanos > STORE_CALL_LIFETIME.toNanos()) {
             storeCallPending = false;
             rowRead = false;
-            LogEvent.of("lease_call_lost").with("row", rowVersion).warn();
+            LogEvent.of("lease_call_lost").with("row", known.rowVersion()).warn();
         }
     }
 
     private void readRow() {
-        markStoreCall(System.nanoTime());
-        leaseStore.read().whenComplete((snapshot, failure) -> {
+        markStoreCall();
+        long readNanos = storeCallNanos;
+        leaseStore.read().whenComplete((row, failure) -> {
             storeCallPending = false;
             rowRead = failure == null;
-            if (failure == null) {
-                applyRow(snapshot);
-            } else {
-                lastWriteNanos = System.nanoTime() + WRITE_BACKOFF.toNanos();
-                LogEvent.of("lease_unread").with("cause", failure).info();
+            if (failure != null) {
+                backOff(failure, "lease_unread");
+            } else if (known.applyRead(row, readNanos)) {
+                leaseChanged();
             }
         });
     }
 
-    private void writeIntents(long nowNanos) {
-        long storeNowMillis = leaseStore.nowMillis();
+    private void backOff(Throwable cause, String event) {
+        lastWriteNanos = clock.nanos() + WRITE_BACKOFF.toNanos();
+        LogEvent.of(event).with("cause", cause).info();
+    }
+
+    private void writeIntents() {
+        LeaseTerm term = known.nextTerm();
+        long nowMillis = leaseStore.nowMillis();
         List<OrderIntent> orders =
-                planner.planOrders(lease, pendingOrders.servers(), pendingOrders.loadTime(), storeNowMillis);
+                planner.planOrders(term, pendingOrders.servers(), pendingOrders.loadTime(), nowMillis);
         List<OrderIntent> completedIntents = pendingOrders.completedIntents();
-        boolean renewalDue = storeNowMillis - lease.renewedMillis() > RENEWAL_INTERVAL.toMillis();
-        if (completedIntents.isEmpty() && orders.isEmpty() && !(renewalDue && holdsLease())) {
+        boolean renewalDue = known.isOwn() && known.age().compareTo(RENEWAL_INTERVAL) > 0;
+        if (completedIntents.isEmpty() && orders.isEmpty() && !renewalDue && !known.isRowMissing()) {
             return;
         }
         List<OrderIntent> intents = new ArrayList<>(completedIntents);
-        intents.addAll(pendingOrders.renewedIntents(storeNowMillis));
+        intents.addAll(pendingOrders.renewedIntents(nowMillis));
         intents.addAll(orders);
-        WeightsLease renewedLease =
-                lease.renewedBy(host, storeNowMillis, intents, orderSpacing.plus(ESTIMATED_LOADING_TIME));
-        IssueWindow issueWindow =
-                IssueWindow.startingAt(nowNanos, System.currentTimeMillis(), PendingOrder.ISSUE_WINDOW);
-        if (!holdsLease()) {
-            logTakeover(renewedLease);
+        write(known.renewedWith(term, intents), orders, completedIntents.size());
+    }
+
+    /** Writes the row and then issues the orders, whose window counts from the beginning of the write. */
+    private void write(WeightsLease newLease, List<OrderIntent> orders, int completedIntents) {
+        if (!known.isOwn()) {
+            logTakeover(newLease.term());
         }
-        markStoreCall(nowNanos);
-        lastWriteNanos = nowNanos;
-        leaseStore.write(rowVersion, renewedLease).whenComplete((newRowVersion, failure) -> {
+        IssueWindow issueWindow = IssueWindow.starting(clock, PendingOrder.ISSUE_WINDOW);
+        markStoreCall();
+        lastWriteNanos = storeCallNanos;
+        leaseStore.write(known.rowVersion(), newLease).whenComplete((newRowVersion, failure) -> {
             storeCallPending = false;
             if (failure != null) {
-                lastWriteNanos = nowNanos + WRITE_BACKOFF.toNanos();
-                LogEvent.of("lease_unknown").with("cause", failure).info();
+                backOff(failure, "lease_unknown");
             } else if (newRowVersion.isEmpty()) {
                 LogEvent.of("lease_lost")
-                        .with("fence", renewedLease.fencingToken())
+                        .with("fence", newLease.term().fencingToken())
                         .info();
                 takeoverPending = false;
                 readRow();
-            } else {
-                pendingOrders.dropCompleted(completedIntents.size());
-                issueOrders(renewedLease, newRowVersion, orders, issueWindow);
+            } else if (known.applyWritten(newLease, newRowVersion.getAsLong())) {
+                pendingOrders.dropCompleted(completedIntents);
+                leaseChanged();
+                issueOrders(orders, issueWindow);
             }
         });
     }
 
-    private void logTakeover(WeightsLease renewedLease) {
+    private void logTakeover(LeaseTerm term) {
         LogEvent.of("lease_takeover")
-                .with("fence", renewedLease.fencingToken())
-                .with("row", rowVersion)
-                .with("from", lease.holder())
-                .with("renewed_ms", lease.renewedMillis())
-                .with("now_ms", renewedLease.renewedMillis())
-                .with("intents", lease.intents())
+                .with("fence", term.fencingToken())
+                .with("row", known.rowVersion())
+                .with("from", known.lease().term().holder())
+                .with("unchanged_ms", known.age().toMillis())
+                .with("held_back", known.heldBackServers(term))
                 .info();
     }
 
-    private void issueOrders(
-            WeightsLease renewedLease, OptionalLong newRowVersion, List<OrderIntent> orders, IssueWindow issueWindow) {
-        adoptLease(renewedLease, newRowVersion.getAsLong());
+    private void issueOrders(List<OrderIntent> orders, IssueWindow issueWindow) {
         LogEvent.of("lease_written")
-                .with("fence", renewedLease.fencingToken())
+                .with("fence", known.lease().term().fencingToken())
                 .with("orders", orders.size())
                 .info();
-        orders.forEach(order -> pendingOrders.issue(order, renewedLease.fencingToken(), issueWindow));
+        orders.forEach(order -> pendingOrders.issue(order, issueWindow));
     }
 }
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -13,10 +13,13 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ScopedSegment;
 import org.geraniumford.core.quarantine.QuarantineListener;
 import org.geraniumford.core.quarantine.SegmentQuarantine;
+import org.geraniumford.core.time.LocalClock;
+import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -24,6 +27,7 @@
 import org.geraniumford.daemon.weights.EngineReport;
 import org.geraniumford.daemon.weights.LeaseStore;
 import org.geraniumford.daemon.weights.RolloutController;
+import org.geraniumford.daemon.weights.RolloutTimes;
 import org.geraniumford.daemon.weights.WeightsOrder;
 import org.junit.jupiter.api.Test;
 
@@ -52,8 +56,8 @@
                 state,
                 new NoLeases(),
                 new NoEngines(),
-                Duration.ofSeconds(1),
-                Duration.ofSeconds(8),
+                new RolloutTimes(Duration.ofSeconds(1), Duration.ofSeconds(8)),
+                LocalClock.system(),
                 new Random(1));
     }
 
@@ -138,8 +142,8 @@
 
     private static final class NoLeases implements LeaseStore {
         @Override
-        public CompletableFuture<LeaseSnapshot> read() {
-            return CompletableFuture.completedFuture(LeaseSnapshot.empty());
+        public CompletableFuture<LeaseRow> read() {
+            return CompletableFuture.completedFuture(new LeaseRow(LeaseSnapshot.empty(), 0));
         }
 
         @Override
@@ -160,7 +164,7 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order) {
+        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order, BooleanSupplier permission) {
             throw new AssertionError("there is no engine");
         }
     }
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.PublishedWeights;
@@ -19,52 +21,53 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class RolloutControllerTest {
-    private static final Duration LONGER_THAN_WRITE_INTERVAL = Duration.ofMillis(300);
+    private static final long LONGER_THAN_WRITE_INTERVAL_MILLIS = 300;
 
+    private final VirtualClock clock = new VirtualClock();
     private final GatewayState state = GatewayState.empty("here");
     private final RecordedLeases leases = new RecordedLeases();
     private final DrainingEngine engine = new DrainingEngine();
-    private final RolloutController controller =
-            RolloutController.of("host", state, leases, engine, Duration.ZERO, Duration.ofSeconds(8), () -> 0L);
+    private final RolloutController controller = RolloutController.of(
+            "host", state, leases, engine, new RolloutTimes(Duration.ZERO, Duration.ofSeconds(8)), clock, () -> 0L);
 
     /**
      * Guards against requests to an engine that drains for longer than the order's intent is valid: it looks idle to
      * every entry and rejects them all.
      */
     @Test
-    void shouldRenewTheIntentOfAnOrderWhileTheEngineDrains() throws Exception {
+    void shouldRenewTheIntentOfAnOrderWhileTheEngineDrains() {
         state.directory()
                 .register(
                         new BackendServer("engine", 1, "engines", "10.0.0.1:80", "here", 8, false, Map.of("model", 1)));
         state.recordPublishedWeights(new PublishedWeights("model", 2, 0, 0, true), "store");
         controller.tick();
-        controller.tick();
+        tickAfter(0);
         assertThat(engine.orders).isEqualTo(1);
+        OrderIntent intent = leases.lastIntents().get(0);
         assertThat(leases.lastIntents())
-                .containsExactly(new OrderIntent("engine", "model", 2, "host", leases.nowMillis(), false));
-        leases.nowMillis += 1000;
-        Thread.sleep(LONGER_THAN_WRITE_INTERVAL.toMillis());
-        controller.tick();
+                .containsExactly(new OrderIntent(intent.key(), "model", 2, "host", leases.nowMillis(), false));
+        tickAfter(1000);
         assertThat(leases.lastIntents())
-                .containsExactly(new OrderIntent("engine", "model", 2, "host", leases.nowMillis(), false));
+                .containsExactly(new OrderIntent(intent.key(), "model", 2, "host", leases.nowMillis(), false));
+        assertThat(intent.recordedMillis()).isLessThan(leases.nowMillis());
         assertThat(engine.orders).isEqualTo(1);
     }
 
     /** Guards against a controller that waits for ever, because whoever handled the result of a call has failed. */
     @Test
-    void shouldGoOnWhenACallOfTheStoreIsLost() throws Exception {
+    void shouldGoOnWhenACallOfTheStoreIsLost() {
         state.directory()
                 .register(
                         new BackendServer("engine", 1, "engines", "10.0.0.1:80", "here", 8, false, Map.of("model", 1)));
         state.recordPublishedWeights(new PublishedWeights("model", 2, 0, 0, true), "store");
         leases.losesReads = true;
-        controller.tick();
-        controller.tick();
+        tickAfter(0);
         assertThat(engine.orders).isZero();
         leases.losesReads = false;
-        Thread.sleep(5200);
-        controller.tick();
-        controller.tick();
+        tickAfter(4500);
+        assertThat(engine.orders).isZero();
+        tickAfter(400);
+        tickAfter(0);
         assertThat(engine.orders).isEqualTo(1);
     }
 
@@ -77,32 +80,34 @@
         state.recordPublishedWeights(new PublishedWeights("model", 2, 0, 0, true), "store");
     }
 
-    private void tickAfter(long millis) throws InterruptedException {
+    private void tickAfter(long millis) {
         leases.nowMillis += millis;
-        Thread.sleep(LONGER_THAN_WRITE_INTERVAL.toMillis());
-        controller.tick();
-        controller.tick();
+        clock.advance(millis);
+        for (int i = 0; i < 3; i++) {
+            clock.advance(LONGER_THAN_WRITE_INTERVAL_MILLIS / 3);
+            controller.tick();
+        }
     }
 
     /** Guards against a rollout that nobody can go on with, because each write expects version 0 of an existing row. */
     @ParameterizedTest
     @ValueSource(strings = {"", "3 host-a 100000\ni-0 Walia LLM 3 host-a 99000 false", "3 host-a", "\u0000", "{}"})
-    void shouldTakeOverARowThatCannotBeReadOnceItIsNoLongerRenewed(String value) throws Exception {
+    void shouldTakeOverARowThatCannotBeReadOnceItIsNoLongerRenewed(String value) {
         leases.row = new LeaseSnapshot(40, value);
         listOutdatedEngine();
         tickAfter(0);
-        tickAfter(1900);
+        tickAfter(1400);
         assertThat(leases.expectedVersions).isEmpty();
         tickAfter(200);
         tickAfter(1000);
         tickAfter(1000);
         assertThat(engine.orders).isEqualTo(1);
         assertThat(leases.expectedVersions).startsWith(40L);
-        assertThat(leases.written).allMatch(lease -> lease.fencingToken() == 41);
+        assertThat(leases.written).allMatch(lease -> lease.term().fencingToken() == 41);
     }
 
     @Test
-    void shouldNotTakeOverARowThatCannotBeReadWhileItsHolderRenewsIt() throws Exception {
+    void shouldNotTakeOverARowThatCannotBeReadWhileItsHolderRenewsIt() {
         listOutdatedEngine();
         for (int i = 0; i < 6; i++) {
             leases.row = new LeaseSnapshot(40 + i, "a row of another version of this program");
@@ -113,7 +118,7 @@
     }
 
     @Test
-    void shouldWriteANewRowWhenTheOperatorHasRemovedIt() throws Exception {
+    void shouldWriteANewRowWhenTheOperatorHasRemovedIt() {
         leases.row = new LeaseSnapshot(40, "7 host-a 0");
         listOutdatedEngine();
         leases.losesWrites = true;
@@ -134,6 +139,7 @@
         private long nowMillis = 100_000;
         private final List<Long> expectedVersions = new ArrayList<>();
         private LeaseSnapshot row = LeaseSnapshot.empty();
+        private long storeVersion;
         private boolean losesReads;
         private boolean losesWrites;
 
@@ -142,8 +148,8 @@
         }
 
         @Override
-        public CompletableFuture<LeaseSnapshot> read() {
-            return losesReads ? new CompletableFuture<>() : CompletableFuture.completedFuture(row);
+        public CompletableFuture<LeaseRow> read() {
+            return losesReads ? new CompletableFuture<>() : CompletableFuture.completedFuture(new LeaseRow(row, 0));
         }
 
         @Override
@@ -153,7 +159,8 @@
                 return CompletableFuture.completedFuture(OptionalLong.empty());
             }
             written.add(lease);
-            return CompletableFuture.completedFuture(OptionalLong.of(written.size()));
+            storeVersion = Math.max(storeVersion, row.version()) + 1;
+            return CompletableFuture.completedFuture(OptionalLong.of(storeVersion));
         }
 
         @Override
@@ -172,7 +179,8 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order) {
+        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order, BooleanSupplier permission) {
+            assertThat(permission.getAsBoolean()).isTrue();
             orders++;
             return CompletableFuture.completedFuture(true);
         }
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -4,13 +4,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsLease;
@@ -21,35 +23,37 @@
 
 /**
  * Guards against two holders of the weights lease that order one engine within the handover time, because one of them
- * reads the store's clock late or its order is on its way for long.
+ * reads the store's clock late, its order is on its way for long, or the row of the lease does not tell of its order.
  */
 final class TwoHoldersTest {
     private static final long HANDOVER_MILLIS = 3000;
-    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long TICK_MILLIS = 20;
     private static final long LIMIT_MILLIS = 12_000;
 
     private final SharedRow row = new SharedRow();
     private final List<ReceivedOrder> received = new ArrayList<>();
-    private final long startNanos = System.nanoTime();
+    private final VirtualClock clock = new VirtualClock();
+    private final long startNanos = clock.nanos();
 
     private long elapsedMillis() {
-        return (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+        return Duration.ofNanos(clock.nanos() - startNanos).toMillis();
     }
 
     /** One entry; its engine never answers an order, so that its successor orders the same engine. */
     private final class Entry {
         private final GatewayState state = GatewayState.empty("here");
+        private final SilentEngine engine;
         private final RolloutController controller;
 
         Entry(String host, long clockBehindMillis, long deliveryMillis) {
+            engine = new SilentEngine(deliveryMillis);
             controller = RolloutController.of(
                     host,
                     state,
                     new DelayedClock(row, clockBehindMillis),
-                    new SilentEngine(deliveryMillis),
-                    Duration.ofMillis(HANDOVER_MILLIS),
-                    Duration.ofSeconds(8),
+                    engine,
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8)),
+                    clock,
                     new Random());
             state.directory()
                     .register(new BackendServer(
@@ -60,22 +64,27 @@
             state.recordPublishedWeights(new PublishedWeights("model", 2, 0, 0, true), "store");
         }
 
-        /** Acts until the engine has received a number of orders. */
-        void actUntilReceived(int orders) throws InterruptedException {
+        /** Acts until the engine has received a number of orders, while others follow what it announces. */
+        void actUntilReceived(int orders, Entry... followers) {
             publish();
             long limitMillis = elapsedMillis() + LIMIT_MILLIS;
             while (received.size() < orders && elapsedMillis() < limitMillis) {
                 controller.tick();
-                TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+                Arrays.stream(followers).forEach(follower -> follower.follow(this));
+                clock.advance(TICK_MILLIS);
             }
             assertThat(received).hasSize(orders);
         }
+
+        private void follow(Entry leader) {
+            controller.applyLeaseSnapshot(leader.controller.leaseGossip());
+            controller.tick();
+        }
     }
 
     /** Lets the first entry order the engine and end, and then the second one; returns the time between the orders. */
-    private long handover(Entry first, Entry second) throws InterruptedException {
-        second.controller.tick();
-        first.actUntilReceived(1);
+    private long handover(Entry first, Entry second) {
+        first.actUntilReceived(1, second);
         second.actUntilReceived(2);
         return distance();
     }
@@ -87,19 +96,19 @@
 
     @ParameterizedTest
     @ValueSource(longs = {0, 3000, 20_000})
-    void shouldKeepTheHandoverTimeWhenTheFirstHolderReadsTheClockLate(long behindMillis) throws Exception {
+    void shouldKeepTheHandoverTimeWhenTheFirstHolderReadsTheClockLate(long behindMillis) {
         assertThat(handover(new Entry("first", behindMillis, 0), new Entry("second", 0, 0)))
                 .isGreaterThan(HANDOVER_MILLIS);
     }
 
     @Test
-    void shouldKeepTheHandoverTimeWhenTheFirstOrderIsOnItsWayForLong() throws Exception {
+    void shouldKeepTheHandoverTimeWhenTheFirstOrderIsOnItsWayForLong() {
         assertThat(handover(new Entry("first", 1500, 790), new Entry("second", 0, 0)))
                 .isGreaterThan(HANDOVER_MILLIS);
     }
 
     @Test
-    void shouldKeepTheHandoverTimeWhenTheSuccessorHasJustStarted() throws Exception {
+    void shouldKeepTheHandoverTimeWhenTheSuccessorHasJustStarted() {
         new Entry("first", 3000, 0).actUntilReceived(1);
         new Entry("second", 0, 0).actUntilReceived(2);
         assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
@@ -107,17 +116,16 @@
 
     /** Guards against two processes of one host, whose restart overlaps, that take each other's token for their own. */
     @Test
-    void shouldRaiseTheTokenWhenAnotherProcessOfTheSameHostTakesOver() throws Exception {
+    void shouldRaiseTheTokenWhenAnotherProcessOfTheSameHostTakesOver() {
         assertThat(handover(new Entry("host", 0, 0), new Entry("host", 0, 0))).isGreaterThan(HANDOVER_MILLIS);
     }
 
     /** Guards against tokens that start again, and against orders of which only the removed row told. */
     @Test
-    void shouldKeepTheHandoverTimeAndRaiseTheTokenWhenTheRowIsRemoved() throws Exception {
+    void shouldKeepTheHandoverTimeAndRaiseTheTokenWhenTheRowIsRemoved() {
         Entry first = new Entry("first", 0, 0);
         Entry second = new Entry("second", 0, 0);
-        second.controller.tick();
-        first.actUntilReceived(1);
+        first.actUntilReceived(1, second);
         row.remove();
         second.actUntilReceived(2);
         assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
@@ -125,17 +133,67 @@
 
     /** Guards against orders that a row does not tell of, because somebody has put an earlier value back. */
     @Test
-    void shouldKeepTheHandoverTimeAndRaiseTheTokenWhenTheRowIsPutBack() throws Exception {
+    void shouldKeepTheHandoverTimeAndRaiseTheTokenWhenTheRowIsPutBack() {
         Entry first = new Entry("first", 0, 0);
         Entry second = new Entry("second", 0, 0);
-        second.controller.tick();
-        first.actUntilReceived(1);
-        second.controller.applyLeaseSnapshot(row.snapshot);
+        first.actUntilReceived(1, second);
         row.putBack("1 first 1000000");
         second.actUntilReceived(2);
         assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
     }
 
+    /** Lets the first entry order the engine while its call has no connection yet. */
+    private Runnable orderWithoutConnection(Entry first) {
+        first.engine.waiting = new ArrayList<>();
+        first.publish();
+        while (first.engine.waiting.isEmpty() && elapsedMillis() < LIMIT_MILLIS) {
+            first.controller.tick();
+            clock.advance(TICK_MILLIS);
+        }
+        return first.engine.waiting.get(0);
+    }
+
+    @Test
+    void shouldNotSendAnOrderThatGetsItsConnectionAfterItsWindow() {
+        Runnable connected = orderWithoutConnection(new Entry("first", 0, 0));
+        clock.advance(1000);
+        connected.run();
+        assertThat(received).isEmpty();
+    }
+
+    @Test
+    void shouldNotSendAnOrderAfterItsHostWasSuspended() {
+        Runnable connected = orderWithoutConnection(new Entry("first", 0, 0));
+        clock.suspend(1000);
+        connected.run();
+        assertThat(received).isEmpty();
+    }
+
+    @Test
+    void shouldNotSendAnOrderAfterTheLeaseWasReleased() {
+        Entry first = new Entry("first", 0, 0);
+        Runnable connected = orderWithoutConnection(first);
+        first.controller.stop();
+        connected.run();
+        assertThat(received).isEmpty();
+    }
+
+    /** Guards against a write whose success arrives when another entry holds the lease already. */
+    @Test
+    void shouldNotActOnAWriteAfterANewerRowWasHeardOf() {
+        Entry first = new Entry("first", 0, 0);
+        row.delayed = new ArrayList<>();
+        first.publish();
+        while (row.delayed.isEmpty() && elapsedMillis() < LIMIT_MILLIS) {
+            first.controller.tick();
+            clock.advance(TICK_MILLIS);
+        }
+        first.controller.applyLeaseSnapshot(new LeaseSnapshot(1000, "1000 second 1 0 2"));
+        row.delayed.forEach(Runnable::run);
+        assertThat(received).isEmpty();
+        assertThat(first.controller.leaseGossip().version()).isEqualTo(1000);
+    }
+
     // -- stand-ins
 
     private record ReceivedOrder(String holder, long fencingToken, long millis) {}
@@ -145,6 +203,9 @@
         private LeaseSnapshot snapshot = LeaseSnapshot.empty();
         private long storeVersion = 7;
 
+        /** The responses to writes that are delayed; null if they arrive at once. */
+        private List<Runnable> delayed;
+
         void remove() {
             storeVersion++;
             snapshot = LeaseSnapshot.empty();
@@ -176,13 +237,19 @@
         }
 
         @Override
-        public CompletableFuture<LeaseSnapshot> read() {
-            return CompletableFuture.completedFuture(row.snapshot);
+        public CompletableFuture<LeaseRow> read() {
+            return CompletableFuture.completedFuture(new LeaseRow(row.snapshot, row.storeVersion));
         }
 
         @Override
         public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
-            return CompletableFuture.completedFuture(row.write(expectedVersion, lease));
+            OptionalLong newVersion = row.write(expectedVersion, lease);
+            if (row.delayed == null) {
+                return CompletableFuture.completedFuture(newVersion);
+            }
+            CompletableFuture<OptionalLong> response = new CompletableFuture<>();
+            row.delayed.add(() -> response.complete(newVersion));
+            return response;
         }
 
         @Override
@@ -195,6 +262,9 @@
     private final class SilentEngine implements EngineAdmin {
         private final long deliveryMillis;
 
+        /** Calls that wait for their connection; null if connections are there at once. */
+        private List<Runnable> waiting;
+
         SilentEngine(long deliveryMillis) {
             this.deliveryMillis = deliveryMillis;
         }
@@ -205,9 +275,19 @@
         }
 
         @Override
-        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order) {
-            received.add(new ReceivedOrder(order.holder(), order.fencingToken(), elapsedMillis() + deliveryMillis));
+        public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order, BooleanSupplier permission) {
+            if (waiting == null) {
+                send(order, permission);
+            } else {
+                waiting.add(() -> send(order, permission));
+            }
             return new CompletableFuture<>();
         }
+
+        private void send(WeightsOrder order, BooleanSupplier permission) {
+            if (permission.getAsBoolean()) {
+                received.add(new ReceivedOrder(order.holder(), order.fencingToken(), elapsedMillis() + deliveryMillis));
+            }
+        }
     }
 }
--- a/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 
 /** Sends the router's own HTTP calls over pooled connections. Used on its network thread only. */
 public final class PooledHttpClient {
@@ -67,6 +68,37 @@
             Map<String, String> headers,
             byte[] body,
             Duration timeout) {
+        return start(new Call(request(method, address, path, headers, body), memory, () -> true), address, timeout);
+    }
+
+    /**
+     * Sends a call without retries if it is still permitted when its bytes are about to be written. A call that was not
+     * answered in time is withdrawn: its connection is reset, so that bytes that the server has not received by then
+     * never arrive.
+     *
+     * @param permission asked when the bytes are about to be written; if it returns false the call fails and nothing is
+     *     sent
+     * @param method the method
+     * @param address the server, IP:PORT
+     * @param path the path and query
+     * @param headers further header fields
+     * @param body the JSON body; empty for none
+     * @param timeout the longest time that the call may take, connecting included
+     * @return as {@link #call} does
+     */
+    public CompletableFuture<BufferedHttpResponse> callIfPermitted(
+            BooleanSupplier permission,
+            HttpMethod method,
+            String address,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            Duration timeout) {
+        return start(new Call(request(method, address, path, headers, body), memory, permission), address, timeout);
+    }
+
+    private static FullHttpRequest request(
+            HttpMethod method, String address, String path, Map<String, String> headers, byte[] body) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
         request.headers().set(HttpHeaderNames.HOST, address);
@@ -75,7 +107,10 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         }
-        Call call = new Call(request, memory);
+        return request;
+    }
+
+    private CompletableFuture<BufferedHttpResponse> start(Call call, String address, Duration timeout) {
         call.timer = loop.schedule(
                 () -> {
                     call.timedOut();
@@ -106,12 +141,14 @@
         private final FullHttpRequest request;
         private final CompletableFuture<BufferedHttpResponse> response = new CompletableFuture<>();
         private final HeldBody body;
+        private final BooleanSupplier permission;
         private ScheduledFuture<?> timer;
         private ServerConnection connection;
         private HttpResponse head;
 
-        Call(FullHttpRequest request, ResponseMemory memory) {
+        Call(FullHttpRequest request, ResponseMemory memory, BooleanSupplier permission) {
             this.request = request;
+            this.permission = permission;
             this.body = memory.newBody(() -> abort("the responses that are held are too large together"));
         }
 
@@ -120,6 +157,11 @@
                 opened.abort();
                 return;
             }
+            if (!permission.getAsBoolean()) {
+                opened.abort();
+                fail(new IOException("no longer permitted"));
+                return;
+            }
             connection = opened;
             opened.send(request, this);
         }
@@ -134,7 +176,7 @@
 
         void timedOut() {
             if (connection != null) {
-                connection.abort();
+                connection.reset();
             }
             fail(new TimeoutException("no answer in time"));
         }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -154,6 +155,14 @@
         channel.close();
     }
 
+    /** Closes the connection like {@link #abort}, and discards what was sent and has not reached the server. */
+    void reset() {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        abort();
+    }
+
     /**
      * Stops or continues reading, so that the server does not send faster than a slow caller reads.
      *
@@ -274,11 +283,9 @@
     }
 
     private void updateKeepAlive(HttpResponse head) {
-        String value = head.headers().get("Keep-Alive");
-        if (value == null) {
-            return;
-        }
-        KeepAliveTimeout.parse(value).ifPresent(timeout -> keepAlive = timeout);
+        Optional.ofNullable(head.headers().get("Keep-Alive"))
+                .flatMap(KeepAliveTimeout::parse)
+                .ifPresent(timeout -> keepAlive = timeout);
     }
 
     /** Ends the response only after all bytes that arrived with it have been read. */
