--- a/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -64,6 +64,10 @@
                 .toList();
     }
 
+    /**
+     * Plans the orders for one model. A server that counts as loading by an earlier order may be chosen as well: its
+     * report says whether it still is.
+     */
     private List<OrderIntent> planModelOrders(
             String model,
             int version,
@@ -72,20 +76,22 @@
             Duration loadTime,
             long storeNowMillis) {
         List<ServerState> servers = modelServers(model);
-        List<RolloutCandidate> candidates = servers.stream()
+        List<ServerState> candidates = servers.stream()
                 .filter(server -> !server.server().leaving())
                 .filter(server -> isOutdated(server, model, version))
                 .filter(server -> !pendingServers.contains(server.server().id()))
-                .filter(server -> !server.reachability().isSuspended(clock.nanos()) && !server.isLoading(clock.nanos()))
+                .filter(server -> !server.reachability().isSuspended(clock.nanos()))
                 .filter(server -> !server.pause().isPaused(clock.nanos()))
                 .filter(server -> known.allowsOrder(server.server().id(), term))
-                .map(server -> candidate(server, model))
                 .toList();
         List<String> loadingDomains = servers.stream()
+                .filter(server -> !candidates.contains(server))
                 .filter(server -> pendingServers.contains(server.server().id()) || server.isLoading(clock.nanos()))
                 .map(server -> server.server().failureDomain())
                 .toList();
-        return RolloutPlan.selectServers(candidates, loadingDomains, servers.size(), loadTime).stream()
+        List<RolloutCandidate> outdated =
+                candidates.stream().map(server -> candidate(server, model)).toList();
+        return RolloutPlan.selectServers(outdated, loadingDomains, servers.size(), loadTime).stream()
                 .map(candidate -> new OrderIntent(
                         new OrderKey(candidate.server(), term.fencingToken(), known.nextOrderVersion()),
                         model,
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -37,6 +37,7 @@
     private final OrderIntent intent;
     private final IssueWindow issueWindow;
     private boolean reportPending;
+    private boolean issued;
     private boolean ended;
     private long reportRequestedNanos;
 
@@ -90,19 +91,25 @@
 
     /**
      * Requests a report, then issues the order unless the engine has loaded the weights. The order fails if no report
-     * arrives. If the engine is carrying out another order, this one is not issued; it stays pending until the weights
-     * are loaded or {@link #ORDER_TIMEOUT} has passed.
+     * arrives. While the engine is carrying out another order, this one is not issued. It then stays pending until a
+     * report says that the engine has done so, the weights are loaded or {@link #ORDER_TIMEOUT} has passed.
      */
     void start() {
         requestReport().whenComplete((report, failure) -> {
             if (failure != null) {
                 fail();
-            } else if (!completeIfLoaded(report) && !report.busy()) {
-                issue(report.sequence());
+            } else {
+                applyReport(report);
             }
         });
     }
 
+    private void applyReport(EngineReport report) {
+        if (!completeIfLoaded(report) && !report.busy() && !issued) {
+            issue(report.sequence());
+        }
+    }
+
     /** Ends this order. A new one may be issued; until then the server receives requests. */
     private void fail() {
         ended = true;
@@ -114,6 +121,7 @@
             fail();
             return;
         }
+        issued = true;
         WeightsOrder order = new WeightsOrder(
                 intent.model(), intent.version(), intent.holder(), intent.key().fencingToken(), expectedSequence);
         limits.recordUse(server);
@@ -156,7 +164,7 @@
         if (server.weightsVersion(intent.model()).orElse(0) >= intent.version()) {
             complete("listed");
         } else if (isReportDue() && limits.hasRoom(server) && !server.pause().isPaused(clock.nanos())) {
-            requestReport().thenAccept(this::completeIfLoaded);
+            requestReport().thenAccept(this::applyReport);
         }
     }
 
