One place says which reason of a refusal goes into a log line

ConfigurationSync and HostDirectory took the label of a refused call's reason in the same four steps; RefusalException.reasonLabelOf does it for both. The lines that are logged stay the same.

Run: ConfigurationSync* and HostDirectory* of daemon pass.

--- a/core/src/main/java/org/geraniumford/core/verdict/RefusalException.java
+++ b/core/src/main/java/org/geraniumford/core/verdict/RefusalException.java
@@ -49,4 +49,14 @@
                 ? refused.refusal()
                 : Refusal.of(Reason.INTERNAL, verdict, cause.getClass().getSimpleName());
     }
+
+    /**
+     * Returns why a request failed, for the log.
+     *
+     * @param failure the exception of a future, possibly wrapped in a {@link CompletionException}
+     * @return the label of the reason; that of {@link Reason#INTERNAL} if the exception carries no refusal
+     */
+    public static String reasonLabelOf(Throwable failure) {
+        return refusalOf(failure, Verdict.NOT_RUN).reason().label();
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/configuration/ConfigurationSync.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/configuration/ConfigurationSync.java
@@ -22,7 +22,6 @@
 import org.geraniumford.core.store.Store;
 import org.geraniumford.core.store.TableRow;
 import org.geraniumford.core.verdict.RefusalException;
-import org.geraniumford.core.verdict.Verdict;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.transport.link.Link;
@@ -222,11 +221,7 @@
 
     private void handleStoreFailure(Throwable failure) {
         LogEvent.of("configuration_store_unavailable")
-                .with(
-                        "reason",
-                        RefusalException.refusalOf(failure, Verdict.NOT_RUN)
-                                .reason()
-                                .label())
+                .with("reason", RefusalException.reasonLabelOf(failure))
                 .warn();
         apply(new Propagation.Event.StoreFailed(), Optional.empty());
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/membership/HostDirectory.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/membership/HostDirectory.java
@@ -13,7 +13,6 @@
 import org.geraniumford.core.membership.Host;
 import org.geraniumford.core.membership.HostListPolling;
 import org.geraniumford.core.verdict.RefusalException;
-import org.geraniumford.core.verdict.Verdict;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
 import org.geraniumford.transport.link.Link;
@@ -191,11 +190,7 @@
         failing = failure != null;
         if (failing && !wasFailing) {
             LogEvent.of("host_list_unavailable")
-                    .with(
-                            "reason",
-                            RefusalException.refusalOf(failure, Verdict.NOT_RUN)
-                                    .reason()
-                                    .label())
+                    .with("reason", RefusalException.reasonLabelOf(failure))
                     .warn();
         } else if (wasFailing && !failing) {
             LogEvent.of("host_list_available").info();
