The configuration in force is a class of its own, with its version and its age

What is decided and logged stays the same.

Run: GatewayStateTest, GossipExchangeTest, PlatformEngineTest, PlatformStateTest, OutdatedConfigurationTest, OperatorTableAgeTest, OddRowTest, CustomerLimitTest, ConfigurationFreshnessTest and ConfigurationSyncTest pass (105 tests).

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -216,6 +216,7 @@
 
     private boolean supportsBackups() {
         return gateway.state()
+                .configuration()
                 .routingTable()
                 .flatMap(table -> table.service(admitted.service()))
                 .flatMap(ServiceDefinition::engine)
@@ -258,7 +259,8 @@
      * Called once for each choice of a server and for each dispatch.
      */
     private void followSharingGroup() {
-        Optional<SharingGroup> current = gateway.state().routingTable().map(admitted::sharingGroup);
+        Optional<SharingGroup> current =
+                gateway.state().configuration().routingTable().map(admitted::sharingGroup);
         if (!current.equals(sharingGroup)) {
             sharingGroup = current;
             scopedPromptsByWeights.clear();
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -170,7 +170,7 @@
     }
 
     private void admit(CallerExchange exchange, InboundRequest request) {
-        Optional<RoutingTable> routingTable = state.routingTable();
+        Optional<RoutingTable> routingTable = state.configuration().routingTable();
         if (routingTable.isEmpty()) {
             refuse(exchange, request.id(), Refusal.notRun(Reason.NO_CONFIGURATION, "no configuration yet"));
             return;
@@ -228,7 +228,7 @@
     /** Refuses a request for good only if the configuration that does not allow it is known to be the newest one. */
     private void refuseByConfiguration(
             CallerExchange exchange, InboundRequest request, Reason reason, String explanation) {
-        boolean certain = state.configurationFreshness().allowsRefusal(configurationVersion());
+        boolean certain = state.configuration().allowsRefusal();
         refuse(
                 exchange,
                 request.id(),
@@ -238,16 +238,12 @@
                                 .withRetryAfter(OUTDATED_RETRY_AFTER));
     }
 
-    private long configurationVersion() {
-        return state.routingTable().map(RoutingTable::version).orElse(0L);
-    }
-
     private void refuse(CallerExchange exchange, String requestId, Refusal refusal) {
         LogEvent.of("refused")
                 .with("request", requestId)
                 .with("reason", refusal.reason().label())
-                .with("configuration", configurationVersion())
-                .with("confirmed", state.configurationFreshness().describeAge(configurationVersion()))
+                .with("configuration", state.configuration().version())
+                .with("confirmed", state.configuration().describeAge())
                 .info();
         metrics.countRefusal(refusal.reason());
         respondRefusal(exchange, requestId, refusal);
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayState.java
@@ -5,18 +5,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.geraniumford.core.fleet.CacheStores;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.fleet.ServerSpeeds;
 import org.geraniumford.core.limits.QuotaTolerance;
-import org.geraniumford.core.service.CallerLimits;
-import org.geraniumford.core.service.ConfigurationFreshness;
 import org.geraniumford.core.service.FreshnessBounds;
 import org.geraniumford.core.service.RoutingTable;
-import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.time.SharedClock;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.daemon.streams.StreamRegistry;
@@ -31,8 +27,8 @@
     private static final Duration LOGGED_CLOCK_ERROR = Duration.ofMillis(100);
 
     private final String failureDomain;
-    private final ServerDirectory directory = ServerDirectory.empty(
-            name -> routingTable().flatMap(table -> table.service(name)).flatMap(ServiceDefinition::engine));
+    private final ServerDirectory directory =
+            ServerDirectory.empty(name -> configuration().engineSpec(name));
     private final WeightsHistories weights = WeightsHistories.empty();
     private final ServerLimits serverLimits = ServerLimits.of(directory, this::sharedMillis);
     private final ServerAvailability serverAvailability = ServerAvailability.of(directory);
@@ -40,10 +36,9 @@
     private final CacheStores cacheStores = CacheStores.empty();
     private final CustomerLimits customerLimits;
     private final SharedClock clock;
-    private final ConfigurationFreshness configurationFreshness;
+    private final ConfigurationInForce configuration;
     private final StreamRegistry streams;
     private Runnable loadListener = () -> {};
-    private RoutingTable routingTable;
     private Set<String> alivePeers = Set.of();
     private boolean serverListLoaded;
     private int entryCount = ASSUMED_ENTRIES;
@@ -53,7 +48,8 @@
         this.failureDomain = failureDomain;
         this.customerLimits = CustomerLimits.of(quotaTolerance);
         this.clock = clock;
-        this.configurationFreshness = ConfigurationFreshness.of(clock, freshness);
+        this.configuration = ConfigurationInForce.of(clock, freshness);
+        configuration.onApplied(this::useConfiguration);
         this.streams = StreamRegistry.of(directory, clock, new Random());
     }
 
@@ -111,22 +107,9 @@
         return failureDomain;
     }
 
-    /**
-     * Returns the configuration in force.
-     *
-     * @return the routing table, or empty before the first configuration
-     */
-    public Optional<RoutingTable> routingTable() {
-        return Optional.ofNullable(routingTable);
-    }
-
-    /**
-     * Returns how recently the configuration in force was confirmed.
-     *
-     * @return the record, which is mutable
-     */
-    public ConfigurationFreshness configurationFreshness() {
-        return configurationFreshness;
+    /** Returns the configuration in force, which changes over time. */
+    public ConfigurationInForce configuration() {
+        return configuration;
     }
 
     /** Returns the record of where streams were begun, which is mutable. */
@@ -134,15 +117,6 @@
         return streams;
     }
 
-    /**
-     * Returns the limits in force on the requests and connections of callers.
-     *
-     * @return the configured limits, or the defaults before the first configuration
-     */
-    public CallerLimits limits() {
-        return routingTable().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
-    }
-
     /**
      * Returns the directory of backend servers.
      *
@@ -278,7 +252,7 @@
      * @return true once a configuration and the list of servers were received
      */
     public boolean isReady() {
-        return routingTable != null && serverListLoaded;
+        return configuration.routingTable().isPresent() && serverListLoaded;
     }
 
     /**
@@ -302,27 +276,10 @@
 
     // -- commands
 
-    /**
-     * Applies a configuration; one that is not newer than the configuration in force is ignored.
-     *
-     * @param table the configuration
-     * @param source where the configuration came from, for the log
-     * @return true if it was applied
-     */
-    public boolean applyConfiguration(RoutingTable table, String source) {
-        if (routingTable != null && table.version() <= routingTable.version()) {
-            return false;
-        }
-        LogEvent.of("configuration")
-                .with("version", table.version())
-                .with("before", routingTable == null ? 0 : routingTable.version())
-                .with("source", source)
-                .info();
-        routingTable = table;
+    private void useConfiguration(RoutingTable table) {
         directory.refreshEngineSpecs();
         cacheStores.configure(table.cacheStores());
         customerLimits.applyConfiguration(table.customers());
-        return true;
     }
 
     /**
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/PrefixTransfers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/PrefixTransfers.java
@@ -11,7 +11,6 @@
 import org.geraniumford.core.fleet.StoreTraffic;
 import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.EngineSpec;
-import org.geraniumford.core.service.ServiceDefinition;
 
 /**
  * Decides from where an engine fetches the shared segments of a prompt that it does not have cached: from their cache
@@ -104,9 +103,8 @@
     }
 
     private double tokenBytes(String service) {
-        return state.routingTable()
-                .flatMap(table -> table.service(service))
-                .flatMap(ServiceDefinition::engine)
+        return state.configuration()
+                .engineSpec(service)
                 .map(EngineSpec::kvTokenBytes)
                 .orElse(0.0);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -304,7 +304,7 @@
                         state.streams().gossip(complete),
                         state.serverSpeeds().gossip(complete, announcedNanos)),
                 new OperatorGossip(
-                        state.configurationFreshness().gossip(configurations.version()), state.weightsGossip()),
+                        state.configuration().freshness().gossip(configurations.version()), state.weightsGossip()),
                 lease,
                 new CacheGossip(
                         state.cacheStores().savedSegments().unannounced(),
@@ -370,7 +370,7 @@
         } else if (message instanceof Message.ConfigurationResponse response) {
             configurations.responded(peer, response);
         }
-        state.configurationFreshness().recordAnnounced(envelope.configurationVersion());
+        state.configuration().freshness().recordAnnounced(envelope.configurationVersion());
         configurations.versionHeard(link, envelope.configurationVersion());
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipReceiver.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipReceiver.java
@@ -32,7 +32,8 @@
         Guarded.run("gossip of lease", () -> rollout.applyLeaseSnapshot(gossip.lease()));
         Guarded.run(
                 "gossip of configuration",
-                () -> state.configurationFreshness()
+                () -> state.configuration()
+                        .freshness()
                         .recordGossip(gossip.operator().configuration()));
         Guarded.run(
                 "gossip of weights",
--- a/daemon/src/test/java/org/geraniumford/daemon/gateway/GatewayStateTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/gateway/GatewayStateTest.java
@@ -80,7 +80,7 @@
     @Test
     void shouldReturnKvCapacityWhenServerListPrecedesConfiguration() {
         ServerState server = registerServer();
-        state.applyConfiguration(table(1), "test");
+        state.configuration().apply(table(1), "test");
         server.cache().recordPrefilled(SEGMENTS);
         assertThat(server.kvCapacityTokens()).isEqualTo(100_000);
         assertThat(server.cache().cachedTokens(SEGMENTS)).isEqualTo(2520);
@@ -88,14 +88,16 @@
 
     @Test
     void shouldKeepConfigurationInForceWhenOlderOneIsApplied() {
-        assertThat(state.applyConfiguration(table(2), "test")).isTrue();
-        assertThat(state.applyConfiguration(table(1), "test")).isFalse();
-        assertThat(state.routingTable()).map(RoutingTable::version).hasValue(2L);
+        assertThat(state.configuration().apply(table(2), "test")).isTrue();
+        assertThat(state.configuration().apply(table(1), "test")).isFalse();
+        assertThat(state.configuration().routingTable())
+                .map(RoutingTable::version)
+                .hasValue(2L);
     }
 
     @Test
     void shouldClearSavedSegmentsWhenCacheStoreIsLost() {
-        state.applyConfiguration(tableWithCacheStore(), "test");
+        state.configuration().apply(tableWithCacheStore(), "test");
         state.cacheStores().recordSaved(CACHE_STORE, SEGMENTS, 0);
         assertThat(state.cacheStores().isSaveDue(SEGMENTS, 0)).isFalse();
         state.setCacheStoreAvailable(CACHE_STORE, false);
