--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptWeights.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptWeights.java
@@ -16,17 +16,26 @@
     /** How long before an engine stops early the request is withdrawn: longer than it takes until the next look. */
     private static final Duration STOP_LEAD = Duration.ofMillis(150);
 
+    /**
+     * A request that cannot go on elsewhere is given a time limit only if its weights have less time left than this.
+     * Sent earlier, it has begun or its caller has left when the time is over, and a run that has begun is not cut off.
+     */
+    private static final Duration SHORT_TIME = Duration.ofMillis(3500);
+
     private final Gateway gateway;
     private final String requestId;
     private final Optional<String> model;
+    private final boolean resumable;
     private OptionalInt version;
     /** When the engine stops work on the request because of its weights, from {@link System#nanoTime}. */
     private OptionalLong stopNanos = OptionalLong.empty();
 
-    private AttemptWeights(Gateway gateway, String requestId, Optional<String> model, OptionalInt version) {
+    private AttemptWeights(
+            Gateway gateway, String requestId, Optional<String> model, boolean resumable, OptionalInt version) {
         this.gateway = gateway;
         this.requestId = requestId;
         this.model = model;
+        this.resumable = resumable;
         this.version = version;
     }
 
@@ -44,6 +53,7 @@
                 gateway,
                 admitted.request().id(),
                 admitted.request().prompt().map(PromptSpec::model),
+                admitted.route().resumable(),
                 dispatch.engine().map(EngineDispatch::weightsVersion).orElse(OptionalInt.empty()));
     }
 
@@ -79,6 +89,7 @@
     private Optional<Duration> timeOnOldWeights() {
         return model.filter(name -> version.orElse(0) < gateway.state().publishedWeights(name))
                 .map(name -> gateway.weightsWorkTime(name, version.orElse(0)))
+                .filter(time -> resumable || time.compareTo(SHORT_TIME) < 0)
                 // In the first second of an entry it is not known how much time is left.
                 .filter(time -> !time.isNegative() && !time.isZero());
     }
