--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -30,6 +30,7 @@
 import org.geraniumford.transport.link.LinkHandler;
 import org.geraniumford.transport.link.LinkIdentity;
 import org.geraniumford.transport.link.LinkListener;
+import org.geraniumford.transport.link.LinkMemory;
 import org.geraniumford.transport.link.LinkNetwork;
 import org.geraniumford.transport.log.LogEvent;
 import org.geraniumford.transport.worker.Guarded;
@@ -174,6 +175,15 @@
         return linkCount;
     }
 
+    /**
+     * Returns the account of the bytes that the links to peers hold.
+     *
+     * @return the account, which changes over time
+     */
+    public LinkMemory linkMemory() {
+        return network.memory();
+    }
+
     // -- commands
 
     /**
--- a/transport/src/main/java/org/geraniumford/transport/link/FrameCodec.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/FrameCodec.java
@@ -16,6 +16,9 @@
     /** The maximum length of a frame in bytes, without its length field. */
     public static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
+    /** The length of the field with a frame's length, in bytes. */
+    static final int LENGTH_BYTES = 4;
+
     /**
      * The number of fields before the message. The array header counts the message as one further element, although it
      * is encoded as one value for each of its fields.
--- a/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/LinkNetwork.java
@@ -26,7 +26,6 @@
 
 /** Opens and accepts the links of one process. */
 public final class LinkNetwork {
-    private static final int LENGTH_BYTES = 4;
     private static final int MAX_CONSOLIDATED_FLUSHES = 64;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -34,13 +33,16 @@
     private final LinkIdentity identity;
     private final Optional<LinkTls> tls;
     private final Executor delivery;
+    private final LinkMemory memory;
     private final LongAdder sentBytes = new LongAdder();
 
-    private LinkNetwork(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls, Executor delivery) {
+    private LinkNetwork(
+            EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls, Executor delivery, LinkMemory memory) {
         this.group = group;
         this.identity = identity;
         this.tls = tls;
         this.delivery = delivery;
+        this.memory = memory;
     }
 
     // -- construction
@@ -67,11 +69,25 @@
      * @return a network without links
      */
     public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity, Executor delivery) {
+        return of(group, identity, delivery, LinkMemory.ofHeap());
+    }
+
+    /**
+     * Creates a network as {@link #of(EventLoopGroup, LinkIdentity, Executor)} does.
+     *
+     * @param group the network threads; shut down by their owner
+     * @param identity the identity that the process presents to its peers
+     * @param delivery decodes and delivers the messages
+     * @param memory the account of the bytes that the links hold
+     * @return a network without links
+     */
+    public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity, Executor delivery, LinkMemory memory) {
         return new LinkNetwork(
                 requireNonNull(group, "group is null"),
                 requireNonNull(identity, "identity is null"),
                 Optional.empty(),
-                requireNonNull(delivery, "delivery is null"));
+                requireNonNull(delivery, "delivery is null"),
+                requireNonNull(memory, "memory is null"));
     }
 
     /**
@@ -85,7 +101,7 @@
     public static LinkNetwork of(EventLoopGroup group, LinkIdentity identity, Optional<LinkTls> tls) {
         requireNonNull(group, "group is null");
         requireNonNull(identity, "identity is null");
-        return new LinkNetwork(group, identity, requireNonNull(tls, "tls is null"), Runnable::run);
+        return new LinkNetwork(group, identity, requireNonNull(tls, "tls is null"), Runnable::run, LinkMemory.ofHeap());
     }
 
     // -- commands
@@ -136,6 +152,15 @@
         return sentBytes.sum();
     }
 
+    /**
+     * Returns the account of the bytes that the links hold.
+     *
+     * @return the account, which changes over time
+     */
+    public LinkMemory memory() {
+        return memory;
+    }
+
     // -- channels
 
     private ChannelInitializer<SocketChannel> initializer(LinkHandler handler, boolean server) {
@@ -143,16 +168,38 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 ChannelPipeline pipeline = channel.pipeline();
+                LinkAccount account = memory.open(() -> evict(channel));
                 tls.ifPresent(linkTls -> pipeline.addLast(linkTls.handler(channel, server)));
                 pipeline.addLast(new FlushConsolidationHandler(MAX_CONSOLIDATED_FLUSHES, true));
+                pipeline.addLast(new LinkMeter(account));
                 pipeline.addLast(new LengthFieldBasedFrameDecoder(
-                        FrameCodec.MAX_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-                pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
-                pipeline.addLast(new LinkChannelHandler(identity, handler, sentBytes, delivery));
+                        FrameCodec.MAX_FRAME_BYTES + FrameCodec.LENGTH_BYTES,
+                        0,
+                        FrameCodec.LENGTH_BYTES,
+                        0,
+                        FrameCodec.LENGTH_BYTES));
+                pipeline.addLast(new LengthFieldPrepender(FrameCodec.LENGTH_BYTES));
+                pipeline.addLast(new LinkChannelHandler(identity, handler, sentBytes, delivery, account));
             }
         };
     }
 
+    /**
+     * Closes a link, and releases what it holds at once: a channel that is closed does so only after others are read.
+     */
+    private static void evict(Channel channel) {
+        if (!channel.eventLoop().inEventLoop()) {
+            channel.eventLoop().execute(() -> evict(channel));
+            return;
+        }
+        ChannelPipeline pipeline = channel.pipeline();
+        if (pipeline.get(LengthFieldBasedFrameDecoder.class) != null) {
+            pipeline.get(LinkChannelHandler.class).dropUndelivered();
+            pipeline.remove(LengthFieldBasedFrameDecoder.class);
+        }
+        channel.close();
+    }
+
     private static CompletableFuture<Void> handshakeCompletion(Channel channel) {
         CompletableFuture<Void> completion = new CompletableFuture<>();
         SslHandler handler = channel.pipeline().get(SslHandler.class);
