Four descriptions say what a newcomer had to look up

ResetProbe.of and ResponseSurplus.passOn describe their parameters, StreamSoftware.lifetime says from when it counts, and DispatchPlanner asks the configuration in force for a service's engines, as PrefixTransfers does.

--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -22,7 +22,6 @@
 import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RouteKind;
-import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.service.SharingGroup;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
@@ -217,9 +216,7 @@
     private boolean supportsBackups() {
         return gateway.state()
                 .configuration()
-                .routingTable()
-                .flatMap(table -> table.service(admitted.service()))
-                .flatMap(ServiceDefinition::engine)
+                .engineSpec(admitted.service())
                 .filter(EngineSpec::supportsKvBackup)
                 .isPresent();
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
@@ -40,6 +40,7 @@
                 && admitted.request().position().isPresent();
     }
 
+    /** Returns how long after the stream's beginning its caller may take it up again. */
     private Duration lifetime() {
         return admitted.route().timeout().plus(ARRIVAL_MARGIN);
     }
--- a/transport/src/main/java/org/geraniumford/transport/forward/ResetProbe.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ResetProbe.java
@@ -33,7 +33,12 @@
 
     // -- construction
 
-    /** Creates a probe of a connection, given what is done once the request was written whole or cannot be. */
+    /**
+     * Creates a probe.
+     *
+     * @param channel the connection, whose other side the server has ended
+     * @param requestWritten completes once the request was written whole, or fails to be
+     */
     static ResetProbe of(Channel channel, ChannelFuture requestWritten) {
         return new ResetProbe(
                 requireNonNull(channel, "channel is null"), requireNonNull(requestWritten, "requestWritten is null"));
--- a/transport/src/main/java/org/geraniumford/transport/forward/ResponseSurplus.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ResponseSurplus.java
@@ -46,7 +46,12 @@
         passedBytes = 0;
     }
 
-    /** Passes on what has been received behind the response since the last call. */
+    /**
+     * Passes on what has been received behind the response since the last call.
+     *
+     * @param undecoded all bytes received behind the response, those passed on before included
+     * @param listener receives the bytes that are new
+     */
     void passOn(ByteBuf undecoded, ResponseListener listener) {
         int newBytes = undecoded.readableBytes() - passedBytes;
         if (newBytes > 0) {
