--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -30,10 +31,14 @@
     private static final long TICK_MILLIS = 20;
     private static final long LIMIT_MILLIS = 12_000;
 
+    /** How long an engine stands still; what has arrived on its connections is read afterwards. */
+    private static final long STILL_MILLIS = 7000;
+
     private final SharedRow row = new SharedRow();
     private final List<ReceivedOrder> received = new ArrayList<>();
     private final VirtualClock clock = new VirtualClock();
     private final long startNanos = clock.nanos();
+    private long engineStillUntilMillis;
 
     private long elapsedMillis() {
         return Duration.ofNanos(clock.nanos() - startNanos).toMillis();
@@ -142,6 +147,43 @@
         assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
     }
 
+    /** The row as the first holder wrote it before its order: the same term, and no intents. */
+    private String valueBeforeTheOrder() {
+        return row.snapshot.encodedLease().lines().findFirst().orElseThrow();
+    }
+
+    @Test
+    void shouldKeepTheHandoverTimeWhenAnEarlierValueOfTheSameTermIsPutBack() {
+        new Entry("first", 0, 0).actUntilReceived(1);
+        row.putBack(valueBeforeTheOrder());
+        new Entry("second", 0, 0).actUntilReceived(2);
+        assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
+    }
+
+    /** Guards against a holder that has not heard of its successor and finds its own term in the row again. */
+    @Test
+    void shouldNotOrderUnderALowerTokenAfterItsOwnTermWasPutBack() {
+        Entry first = new Entry("first", 0, 0);
+        first.actUntilReceived(1);
+        String value = valueBeforeTheOrder();
+        new Entry("second", 0, 0).actUntilReceived(2);
+        row.putBack(value);
+        first.actUntilReceived(3);
+        assertThat(received.get(2).fencingToken()).isGreaterThan(received.get(1).fencingToken());
+    }
+
+    /**
+     * Guards against an order that waits at an engine that stands still, and is read when it goes on, together with the
+     * report that the successor of its sender has asked for.
+     */
+    @Test
+    void shouldKeepTheHandoverTimeAtAnEngineThatStandsStillWhileAnOrderWaits() {
+        new Entry("first", 0, STILL_MILLIS).actUntilReceived(1);
+        engineStillUntilMillis = received.get(0).millis();
+        new Entry("second", 0, 0).actUntilReceived(2);
+        assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
+    }
+
     /** Lets the first entry order the engine while its call has no connection yet. */
     private Runnable orderWithoutConnection(Entry first) {
         first.engine.waiting = new ArrayList<>();
@@ -271,6 +313,9 @@
 
         @Override
         public CompletableFuture<EngineReport> report(BackendServer server) {
+            if (elapsedMillis() < engineStillUntilMillis) {
+                return CompletableFuture.failedFuture(new IOException("no answer in time"));
+            }
             return CompletableFuture.completedFuture(new EngineReport(Map.of("model", 1), false, received.size()));
         }
 
