--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -44,6 +44,15 @@
     /** Covers the drift between the clocks of two hosts during the spacing of orders. */
     private static final Duration SPACING_MARGIN = Duration.ofMillis(200);
 
+    /**
+     * After how many writes in succession that were answered too late for their orders a holder lets others take over.
+     * It would go on renewing the lease without ever sending an order.
+     */
+    private static final int MAX_LATE_WRITES = 2;
+
+    /** How much longer than the spacing of orders a holder that has released the lease leaves it to others. */
+    private static final Duration TAKEOVER_TIME = Duration.ofSeconds(2);
+
     private final String host;
     private final GatewayState state;
     private final LeaseStore leaseStore;
@@ -61,6 +70,14 @@
     /** When the last read or write of the row began. */
     private long storeCallNanos;
 
+    /** How long a holder that has released the lease leaves it to others, which wait for the end of the spacing. */
+    private final Duration releaseTime;
+
+    private int lateWrites;
+
+    /** When this holder last released the lease, from {@link LocalClock#nanos}. */
+    private long releasedNanos;
+
     private boolean stopped;
     /** When this host may take over the lease, from {@link LocalClock#nanos}, if a takeover is pending. */
     private long takeoverNanos;
@@ -89,6 +106,7 @@
                 .plus(PendingOrder.ISSUE_WINDOW)
                 .plus(EngineAdmin.DELIVERY_TIME)
                 .plus(SPACING_MARGIN);
+        this.releaseTime = orderSpacing.plus(TAKEOVER_TIME);
         this.known =
                 new KnownLease(host, Long.toHexString(random.nextLong()), clock, orderSpacing, ESTIMATED_LOADING_TIME);
         this.planner = new OrderPlanner(host, state, known, clock, times.maxStaleness());
@@ -192,18 +210,29 @@
     public void stop() {
         stopped = true;
         if (known.isOwn() && planner.hasOutdatedServers()) {
-            WeightsLease released = known.lease().asReleased();
-            leaseStore.write(known.rowVersion(), released).whenComplete((newRowVersion, failure) -> {
-                if (failure == null && newRowVersion.isPresent()) {
-                    known.applyWritten(released, newRowVersion.getAsLong());
-                }
-                LogEvent.of("lease_released")
-                        .with("outcome", failure == null ? newRowVersion : failure)
-                        .info();
-            });
+            release();
         }
     }
 
+    /** Writes the lease as released, so that any other entry can take it. */
+    private void release() {
+        WeightsLease released = known.lease().asReleased();
+        markStoreCall();
+        lastWriteNanos = storeCallNanos;
+        releasedNanos = storeCallNanos;
+        leaseStore.write(known.rowVersion(), released).whenComplete((newRowVersion, failure) -> {
+            storeCallPending = false;
+            if (failure == null && newRowVersion.isPresent()) {
+                known.applyWritten(released, newRowVersion.getAsLong());
+            }
+            LogEvent.of("lease_released")
+                    .with("late_writes", lateWrites)
+                    .with("outcome", failure == null ? newRowVersion : failure)
+                    .info();
+            lateWrites = 0;
+        });
+    }
+
     /** Polls the pending orders and issues new ones as needed. Must be called several times a second. */
     public void tick() {
         if (stopped) {
@@ -232,7 +261,7 @@
      */
     private void reconcile() {
         if (known.isOwn()) {
-            writeIntents();
+            hold();
         } else if (known.isFresh() && isHolderAlive()) {
             takeoverPending = false;
         } else {
@@ -240,6 +269,16 @@
         }
     }
 
+    /** Renews the lease and orders engines, unless others should do so for a while. */
+    private void hold() {
+        boolean leftToOthers = known.lease().released() && clock.nanos() - releasedNanos < releaseTime.toNanos();
+        if (lateWrites >= MAX_LATE_WRITES) {
+            release();
+        } else if (!leftToOthers) {
+            writeIntents();
+        }
+    }
+
     private void takeOver() {
         if (!takeoverPending) {
             takeoverPending = true;
@@ -346,6 +385,9 @@
                 .with("fence", known.lease().term().fencingToken())
                 .with("orders", orders.size())
                 .info();
+        if (!orders.isEmpty()) {
+            lateWrites = issueWindow.isOpen(clock) ? 0 : lateWrites + 1;
+        }
         orders.forEach(order -> pendingOrders.issue(order, issueWindow));
     }
 }
