--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.time.LocalClock;
@@ -32,7 +31,7 @@
     private final LocalClock clock;
     private final ServerLimits limits;
     private final BooleanSupplier leaseHeld;
-    private final BiConsumer<OrderIntent, Duration> loadedListener;
+    private final OrderListener listener;
     private final ServerState server;
     private final OrderIntent intent;
     private final IssueWindow issueWindow;
@@ -51,8 +50,7 @@
      * @param clock the clocks of this process
      * @param limits the limits of servers, which reports and orders count against
      * @param leaseHeld returns whether this host still holds the lease
-     * @param loadedListener receives the completed intent, and the time since its write began, once the engine has
-     *     loaded the weights
+     * @param listener receives what becomes of the order
      */
     PendingOrder(
             ServerState server,
@@ -62,7 +60,7 @@
             LocalClock clock,
             ServerLimits limits,
             BooleanSupplier leaseHeld,
-            BiConsumer<OrderIntent, Duration> loadedListener) {
+            OrderListener listener) {
         this.server = server;
         this.intent = intent;
         this.issueWindow = issueWindow;
@@ -70,7 +68,7 @@
         this.clock = clock;
         this.limits = limits;
         this.leaseHeld = leaseHeld;
-        this.loadedListener = loadedListener;
+        this.listener = listener;
     }
 
     // -- queries
@@ -97,6 +95,7 @@
     void start() {
         requestReport().whenComplete((report, failure) -> {
             if (failure != null) {
+                listener.unanswered(intent.server());
                 fail();
             } else {
                 applyReport(report);
@@ -133,6 +132,11 @@
                     .with("sequence", expectedSequence)
                     .with("outcome", failure == null ? accepted : failure)
                     .info();
+            if (failure == null) {
+                listener.answered(intent.server());
+            } else {
+                listener.unanswered(intent.server());
+            }
             if (failure != null || !accepted) {
                 fail();
             }
@@ -201,7 +205,7 @@
             return;
         }
         ended = true;
-        loadedListener.accept(intent.asDone(), sinceWrite());
+        listener.loaded(intent.asDone(), sinceWrite());
         LogEvent.of("weights_loaded")
                 .with("server", intent.server())
                 .with("version", intent.version())
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -13,7 +13,7 @@
 import org.geraniumford.daemon.gateway.GatewayState;
 
 /** The orders of this host that have not ended, and the completed intents that are not in the lease's row yet. */
-final class PendingOrders {
+final class PendingOrders implements OrderListener {
     /** The time that a server is assumed to take to drain and load until one has done so. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
 
@@ -26,6 +26,7 @@
     private final BooleanSupplier leaseHeld;
     private final Map<String, PendingOrder> orders = new HashMap<>();
     private final List<OrderIntent> completedIntents = new ArrayList<>();
+    private final UnansweredServers unanswered = UnansweredServers.none();
 
     /** A moving average of the time from the intent of an order to its completion. */
     private double loadTimeMillis = INITIAL_LOAD_TIME.toMillis();
@@ -70,6 +71,11 @@
         return Duration.ofMillis(Math.round(loadTimeMillis));
     }
 
+    /** Returns whether this process reaches no engine, as far as its orders tell. */
+    boolean reachesNoServer() {
+        return unanswered.isFaultOfThisSide(state.directory().all().size(), clock.nanos());
+    }
+
     // -- commands
 
     /**
@@ -81,13 +87,24 @@
     void issue(OrderIntent intent, IssueWindow issueWindow) {
         state.directory().find(intent.server()).ifPresent(server -> {
             PendingOrder order = new PendingOrder(
-                    server, intent, issueWindow, engines, clock, state.serverLimits(), leaseHeld, this::recordLoaded);
+                    server, intent, issueWindow, engines, clock, state.serverLimits(), leaseHeld, this);
             orders.put(intent.server(), order);
             order.start();
         });
     }
 
-    private void recordLoaded(OrderIntent intent, Duration elapsed) {
+    @Override
+    public void answered(String server) {
+        unanswered.clear();
+    }
+
+    @Override
+    public void unanswered(String server) {
+        unanswered.add(server, clock.nanos());
+    }
+
+    @Override
+    public void loaded(OrderIntent intent, Duration elapsed) {
         completedIntents.add(intent);
         long elapsedMillis = elapsed.toMillis();
         loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
@@ -108,5 +125,6 @@
     void clear() {
         orders.clear();
         completedIntents.clear();
+        unanswered.clear();
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -227,9 +227,11 @@
             }
             LogEvent.of("lease_released")
                     .with("late_writes", lateWrites)
+                    .with("reaches_no_server", pendingOrders.reachesNoServer())
                     .with("outcome", failure == null ? newRowVersion : failure)
                     .info();
             lateWrites = 0;
+            pendingOrders.clear();
         });
     }
 
@@ -272,7 +274,7 @@
     /** Renews the lease and orders engines, unless others should do so for a while. */
     private void hold() {
         boolean leftToOthers = known.lease().released() && clock.nanos() - releasedNanos < releaseTime.toNanos();
-        if (lateWrites >= MAX_LATE_WRITES) {
+        if (lateWrites >= MAX_LATE_WRITES || pendingOrders.reachesNoServer()) {
             release();
         } else if (!leftToOthers) {
             writeIntents();
