--- a/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
@@ -34,9 +34,12 @@
     private static final Duration USABLE_STALENESS = Duration.ofSeconds(6);
     private static final long START_MILLIS = 1_000_000;
 
-    /** How long after the publication of newer weights the last request ends that was sent to replaced ones. */
+    /** How long after the publication of newer weights a request ends that names the time that they have left. */
     private static final long WORK_STALENESS_MILLIS = 7500;
 
+    /** How long before that time a request has to be sent to name the caller's whole time, if it may not be resumed. */
+    private static final long SHORT_TIME_MILLIS = 3500;
+
     private final VirtualClock clock = new VirtualClock();
     private final long startNanos = clock.nanos();
     private final List<Entry> entries = new ArrayList<>();
@@ -312,10 +315,13 @@
             return new EngineReport(Map.of("model", version), busy, sequence);
         }
 
-        /** Returns when the running requests have ended: those that are sent to replaced weights stop with them. */
+        /**
+         * Returns when the running requests have ended: those that are sent late to replaced weights stop with them.
+         */
         private long timeToDrain() {
             long stopMillis = publishedMillis.get(version + 1) + WORK_STALENESS_MILLIS;
-            return Math.min(drainMillis, Math.max(0, stopMillis - nowMillis()));
+            long lastWholeRunMillis = stopMillis - SHORT_TIME_MILLIS + drainMillis;
+            return Math.min(drainMillis, Math.max(0, Math.max(stopMillis, lastWholeRunMillis) - nowMillis()));
         }
 
         private boolean accept(WeightsOrder order) {
