--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
@@ -8,6 +8,7 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.daemon.streams.StreamRegistry;
+import org.geraniumford.daemon.streams.TakeUp;
 import org.geraniumford.transport.log.LogEvent;
 
 /**
@@ -57,10 +58,10 @@
         }
         Optional<String> firstRequestId = admitted.request().position().flatMap(StreamPosition::firstRequestId);
         return streams.softwareOf(firstRequestId, admitted.service(), lifetime())
-                .thenApply(version -> {
-                    log(firstRequestId, version);
-                    version.ifPresent(planner::goOnAt);
-                    return refusal(version);
+                .thenApply(takeUp -> {
+                    log(firstRequestId, takeUp);
+                    takeUp.version().ifPresent(planner::goOnAt);
+                    return refusal(takeUp.version());
                 });
     }
 
@@ -76,12 +77,15 @@
                         .withRetryAfter(RETRY_AFTER));
     }
 
-    private void log(Optional<String> firstRequestId, Optional<String> version) {
+    private void log(Optional<String> firstRequestId, TakeUp takeUp) {
         LogEvent.of("stream_taken_up")
                 .with("request", admitted.request().id())
                 .with("first", firstRequestId.orElse(""))
                 .with("service", admitted.service())
-                .with("software", version.orElse("unknown"))
+                .with("software", takeUp.version().orElse("unknown"))
+                .with("basis", takeUp.basis().label())
+                .with("read_age_ms", takeUp.readAgeMillis().orElse(-1))
+                .with("list_age_ms", takeUp.listAgeMillis().orElse(-1))
                 .info();
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -40,6 +40,9 @@
     /** The store's row as it was read or written last; empty before that. */
     private SoftwareHistory stored = SoftwareHistory.empty();
 
+    /** The time of the store's clock up to which the list of servers is known; empty before its first read. */
+    private OptionalLong listMillis = OptionalLong.empty();
+
     private boolean syncing;
     private long nextSyncMillis;
     private boolean syncPlanned;
@@ -56,6 +59,13 @@
         return history;
     }
 
+    /** Returns how much older the list of servers is than a time of the store's clock; 0 if it is not older. */
+    OptionalLong listAgeMillis(long storeMillis) {
+        return listMillis.stream()
+                .map(millis -> Math.max(0, storeMillis - millis))
+                .findFirst();
+    }
+
     private Map<String, Set<String>> listedVersions() {
         Map<String, Set<String>> listed = new HashMap<>();
         listedMillis
@@ -67,6 +77,11 @@
 
     // -- commands
 
+    /** Records up to which time of the store's clock the list of servers is known. */
+    void recordListRead(long storeMillis) {
+        listMillis = OptionalLong.of(Math.max(storeMillis, listMillis.orElse(storeMillis)));
+    }
+
     /** Looks at the list of servers. */
     void look() {
         if (!clock.isKnown()) {
@@ -131,6 +146,7 @@
         LogEvent.of("software_versions")
                 .with("before", stored.toString().replace('\n', ';'))
                 .with("now", next.toString().replace('\n', ';'))
+                .with("list_age_ms", listAgeMillis(clock.millis()).orElse(-1))
                 .info();
         return store.writeHistory(expectedVersion, next).thenApply(version -> {
             if (version.isPresent()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -87,18 +88,16 @@
      * @param firstRequestId the id of the request that brought its first event; empty if its caller names none
      * @param service the service that must go on with it
      * @param lifetime how long ago it may have been begun
-     * @return the version; empty if it cannot be known, so that no server may go on with the stream. Completes on the
-     *     network thread
+     * @return the version, if it is known, and what that rests on. Completes on the network thread
      */
-    public CompletableFuture<Optional<String>> softwareOf(
-            Optional<String> firstRequestId, String service, Duration lifetime) {
+    public CompletableFuture<TakeUp> softwareOf(Optional<String> firstRequestId, String service, Duration lifetime) {
         Optional<String> known = known(firstRequestId, service);
         if (known.isPresent() || store == null || !clock.isKnown()) {
-            return CompletableFuture.completedFuture(known);
+            return CompletableFuture.completedFuture(TakeUp.withoutStore(known));
         }
         return read().handle((records, failure) -> failure == null
-                ? known(firstRequestId, service).or(() -> onlyVersion(records, service, lifetime))
-                : Optional.empty());
+                ? answer(known(firstRequestId, service), records, service, lifetime)
+                : TakeUp.withoutStore(Optional.empty()));
     }
 
     private Optional<String> known(Optional<String> firstRequestId, String service) {
@@ -108,14 +107,30 @@
                 .map(StreamOrigin::softwareVersion);
     }
 
-    /** Returns the version that all servers of a service have had for as long as a stream can have lasted. */
-    private Optional<String> onlyVersion(StreamRecords records, String service, Duration lifetime) {
+    private TakeUp answer(Optional<String> recorded, StreamRecords records, String service, Duration lifetime) {
         long sinceMillis = clock.millis() - lifetime.toMillis();
+        Set<String> versions = possibleVersions(records, service, sinceMillis);
+        TakeUpBasis basis = TakeUpBasis.ONLY_VERSION;
+        if (recorded.isPresent()) {
+            basis = TakeUpBasis.RECORD;
+        } else if (!records.history().reachesBackTo(service, sinceMillis)) {
+            basis = TakeUpBasis.HISTORY_SHORT;
+        } else if (versions.size() != 1) {
+            basis = TakeUpBasis.SEVERAL_VERSIONS;
+        }
+        Optional<String> only = versions.stream().findFirst().filter(version -> versions.size() == 1);
+        return new TakeUp(
+                basis == TakeUpBasis.ONLY_VERSION ? only : recorded,
+                basis,
+                OptionalLong.of(clock.millis() - records.readMillis()),
+                software.listAgeMillis(records.readMillis()));
+    }
+
+    /** Returns the versions that can have begun a stream of a service. */
+    private Set<String> possibleVersions(StreamRecords records, String service, long sinceMillis) {
         Set<String> versions = new HashSet<>(records.history().versionsSince(service, sinceMillis));
         versions.addAll(software.history().versionsSince(service, sinceMillis));
-        return versions.size() == 1 && records.history().reachesBackTo(service, sinceMillis)
-                ? versions.stream().findFirst()
-                : Optional.empty();
+        return versions;
     }
 
     private boolean isMixed(String service, Duration lifetime) {
@@ -211,6 +226,15 @@
         }
     }
 
+    /**
+     * Records how recent the list of servers is.
+     *
+     * @param storeMillis the time of the store's clock up to which it is known, in milliseconds
+     */
+    public void recordListRead(long storeMillis) {
+        software.recordListRead(storeMillis);
+    }
+
     /**
      * Records which other entries are heard.
      *
--- /dev/null
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
@@ -0,0 +1,30 @@
+package org.geraniumford.daemon.streams;
+
+import java.util.Locale;
+
+/** What an answer rests on to the question at which version of its servers' software a stream was begun. */
+public enum TakeUpBasis {
+    /** The entry itself, or a peer that told it, sent the stream's request. */
+    MEMORY,
+    /** A row of the store names the stream. */
+    RECORD,
+    /** No other version can have begun it. */
+    ONLY_VERSION,
+    /** Nothing: the store did not answer, or is not known yet. */
+    STORE_SILENT,
+    /** Nothing: the history does not reach back for as long as the stream can have lasted. */
+    HISTORY_SHORT,
+    /** Nothing: several versions can have begun it. */
+    SEVERAL_VERSIONS;
+
+    // -- queries
+
+    /**
+     * Returns the name for logs.
+     *
+     * @return the name in lower case
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -3,17 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ServerDirectory;
-import org.geraniumford.core.stream.SoftwareHistory;
 import org.geraniumford.core.stream.StreamBatch;
 import org.geraniumford.core.stream.StreamOrigin;
 import org.geraniumford.core.time.SharedClock;
@@ -24,9 +19,9 @@
     private static final Duration LIFETIME = Duration.ofSeconds(6);
     private static final long START = 1_000_000;
 
-    private final RowStore store = new RowStore();
-    private final ServerDirectory directory = ServerDirectory.empty(name -> Optional.empty());
     private long nowMillis = START;
+    private final RowStore store = new RowStore(() -> nowMillis);
+    private final ServerDirectory directory = ServerDirectory.empty(name -> Optional.empty());
     private final SharedClock clock = SharedClock.of(() -> nowMillis * 1_000_000);
     private final StreamRegistry registry = StreamRegistry.of(directory, clock, new Random(1));
 
@@ -42,7 +37,7 @@
     }
 
     private Optional<String> softwareOf(StreamRegistry asked, String id) {
-        return asked.softwareOf(Optional.of(id), "service", LIFETIME).join();
+        return asked.softwareOf(Optional.of(id), "service", LIFETIME).join().version();
     }
 
     private void advance(long millis) {
@@ -203,47 +198,9 @@
         list("server-2", "v2");
         registry.tick();
         registry.begin("id", "service", "v1", LIFETIME);
-        assertThat(registry.softwareOf(Optional.of("id"), "other", LIFETIME).join())
+        assertThat(registry.softwareOf(Optional.of("id"), "other", LIFETIME)
+                        .join()
+                        .version())
                 .isEmpty();
     }
-
-    private static final class RowStore implements StreamStore {
-        private final Map<String, StreamBatch> batches = new HashMap<>();
-        private SoftwareHistory history = SoftwareHistory.empty();
-        private long historyVersion;
-        private int written;
-        private int reads;
-        private boolean failing;
-
-        private <T> CompletableFuture<T> answer(T value) {
-            return failing
-                    ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
-                    : CompletableFuture.completedFuture(value);
-        }
-
-        @Override
-        public CompletableFuture<StreamRecords> read() {
-            reads++;
-            return answer(new StreamRecords(historyVersion, history, batches));
-        }
-
-        @Override
-        public CompletableFuture<OptionalLong> writeHistory(long expectedVersion, SoftwareHistory next) {
-            if (failing || expectedVersion != historyVersion) {
-                return answer(OptionalLong.empty());
-            }
-            history = next;
-            return answer(OptionalLong.of(++historyVersion));
-        }
-
-        @Override
-        public CompletableFuture<Void> writeBatch(String key, StreamBatch batch, Collection<String> expiredKeys) {
-            if (!failing) {
-                written++;
-                batches.put(key, batch);
-                batches.keySet().removeAll(expiredKeys);
-            }
-            return answer(null);
-        }
-    }
 }
