--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -56,7 +56,7 @@
     /** The read in progress or the last one, and when it began. */
     private CompletableFuture<StreamRecords> lastRead;
 
-    private long lastReadNanos;
+    private long lastReadMillis;
 
     private StreamRegistry(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
         this.clock = clock;
@@ -266,9 +266,9 @@
 
     /** Reads the store, or takes the result of a read that began a moment ago. */
     private CompletableFuture<StreamRecords> read() {
-        long nowNanos = System.nanoTime();
-        if (lastRead == null || nowNanos - lastReadNanos > READ_VALIDITY.toNanos()) {
-            lastReadNanos = nowNanos;
+        long nowMillis = clock.millis();
+        if (lastRead == null || nowMillis - lastReadMillis > READ_VALIDITY.toMillis()) {
+            lastReadMillis = nowMillis;
             lastRead = store.read().thenApply(this::apply);
         }
         return lastRead;
