--- /dev/null
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -0,0 +1,147 @@
+package org.geraniumford.daemon.streams;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumford.core.fleet.BackendServer;
+import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.stream.SoftwareHistory;
+import org.geraniumford.core.stream.StreamBatch;
+import org.geraniumford.core.time.SharedClock;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against streams that go on at another version at an entry that was out of step with the others. */
+final class EntryOutOfStepTest {
+    private static final Duration LIFETIME = Duration.ofSeconds(6);
+
+    private long nowMillis = 1_000_000;
+    private final RowStore rows = new RowStore(() -> nowMillis);
+
+    /** The versions of the listed servers, by the servers' names. */
+    private final Map<String, String> listed = new TreeMap<>(Map.of("server-1", "v1"));
+
+    private final Entry one = new Entry("one", 1);
+    private final Entry other = new Entry("other", 2);
+
+    /** Both entries have known one version for longer than a stream lasts. */
+    @BeforeEach
+    void startWithOneVersion() {
+        advance(10_000);
+        assertThat(one.softwareOf("unknown")).contains("v1");
+    }
+
+    private void advance(long millis) {
+        for (long i = 0; i < millis; i += 100) {
+            nowMillis += 100;
+            one.tick();
+            other.tick();
+        }
+    }
+
+    @Test
+    void shouldNotAnswerTheOnlyVersionByAListThatIsOutOfDate() {
+        one.readsList = false;
+        other.store.failing = true;
+        listed.put("server-2", "v2");
+        advance(5000);
+        other.registry.begin("id", "service", "v2", LIFETIME);
+        assertThat(one.softwareOf("id")).isEmpty();
+    }
+
+    @Test
+    void shouldNotEndAVersionInTheHistoryByAListThatIsOlderThanItsRecord() {
+        one.readsList = false;
+        listed.put("server-2", "v2");
+        advance(1000);
+        one.softwareOf("unknown");
+        advance(10_000);
+        assertThat(rows.history.versionsSince("service", nowMillis)).contains("v1", "v2");
+    }
+
+    /** A server that has left serves for some seconds more, and an entry that is cut off goes on sending there. */
+    @Test
+    void shouldNotAnswerTheOnlyVersionSoonAfterAnotherOneHasLeft() {
+        other.readsList = false;
+        other.store.failing = true;
+        listed.clear();
+        listed.put("server-2", "v2");
+        advance(5000);
+        other.registry.begin("id", "service", "v1", LIFETIME);
+        advance(5000);
+        assertThat(one.softwareOf("id")).isEmpty();
+    }
+
+    private final class Entry {
+        private final ServerDirectory directory = ServerDirectory.empty(name -> Optional.empty());
+        private final SharedClock clock = SharedClock.of(() -> nowMillis * 1_000_000);
+        private final EntryStore store = new EntryStore(rows);
+        private final StreamRegistry registry;
+        private boolean readsList = true;
+
+        private Entry(String host, long seed) {
+            clock.observe(nowMillis);
+            registry = StreamRegistry.of(directory, clock, new Random(seed));
+            registry.recordIn(host, store);
+        }
+
+        private void tick() {
+            if (readsList) {
+                directory.replaceAll(
+                        listed.entrySet().stream()
+                                .map(server -> server(server.getKey(), server.getValue()))
+                                .toList(),
+                        0);
+                registry.recordListRead(nowMillis);
+            }
+            registry.tick();
+        }
+
+        private static BackendServer server(String id, String version) {
+            return new BackendServer(id, 1, "service", "10.0.0.1:80", "a", version, 4, false, Map.of());
+        }
+
+        private Optional<String> softwareOf(String requestId) {
+            return registry.softwareOf(Optional.of(requestId), "service", LIFETIME)
+                    .join()
+                    .version();
+        }
+    }
+
+    /** One entry's way to the store. */
+    private static final class EntryStore implements StreamStore {
+        private final StreamStore rows;
+        private boolean failing;
+
+        private EntryStore(StreamStore rows) {
+            this.rows = rows;
+        }
+
+        private <T> CompletableFuture<T> failed() {
+            return CompletableFuture.failedFuture(new IllegalStateException("no answer"));
+        }
+
+        @Override
+        public CompletableFuture<StreamRecords> read() {
+            return failing ? failed() : rows.read();
+        }
+
+        @Override
+        public CompletableFuture<OptionalLong> writeHistory(long expectedVersion, SoftwareHistory history) {
+            return failing ? failed() : rows.writeHistory(expectedVersion, history);
+        }
+
+        @Override
+        public CompletableFuture<Void> writeBatch(String key, StreamBatch batch, Collection<String> expiredKeys) {
+            return failing ? failed() : rows.writeBatch(key, batch, List.copyOf(expiredKeys));
+        }
+    }
+}
