--- a/core/src/main/java/org/geraniumford/core/stream/SoftwareHistory.java
+++ b/core/src/main/java/org/geraniumford/core/stream/SoftwareHistory.java
@@ -120,6 +120,18 @@
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Returns the versions that have servers as far as is known.
+     *
+     * @return the versions that have not ended, by the names of their services
+     */
+    public Map<String, Set<String>> openVersions() {
+        return spans.stream()
+                .filter(SoftwareSpan::isOpen)
+                .collect(Collectors.groupingBy(
+                        SoftwareSpan::service, Collectors.mapping(SoftwareSpan::version, Collectors.toSet())));
+    }
+
     /**
      * Returns whether the versions of a service are known for long enough.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
-import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.stream.SoftwareHistory;
 import org.geraniumford.core.time.SharedClock;
@@ -16,39 +15,36 @@
 
 /**
  * Keeps the history of the versions of servers' software, here and in the store. The store's row is read and written
- * only when a version comes or goes. Used on one network thread.
+ * only when a version comes or goes. A version that the row has is ended only by a list of servers that was read after
+ * the row: an earlier one may not have seen it yet. Used on one network thread.
  */
 final class SoftwareWatch {
-    /** How long a version may be missing from the list of servers, which is read again after outages. */
-    private static final Duration MISSING_TIME = Duration.ofSeconds(2);
-
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     /** All entries see a change at about the same time; one of them writes it, if the others look a little later. */
     private static final Duration MAX_JITTER = Duration.ofMillis(200);
 
-    private record ServiceVersion(String service, String version) {}
-
-    private final ServerDirectory directory;
+    private final ListedVersions listed;
     private final SharedClock clock;
     private final RandomGenerator random;
-    private final Map<ServiceVersion, Long> listedMillis = new HashMap<>();
 
     /** What this entry has seen itself, and what the store's row had. */
     private SoftwareHistory history = SoftwareHistory.empty();
 
-    /** The store's row as it was read or written last; empty before that. */
+    /** The store's row as it was read or written last, and its version; empty and 0 before that. */
     private SoftwareHistory stored = SoftwareHistory.empty();
 
-    /** The time of the store's clock up to which the list of servers is known; empty before its first read. */
-    private OptionalLong listMillis = OptionalLong.empty();
+    private long storedVersion;
+
+    /** The time of the store's clock at which the row was first known to have that content; empty before that. */
+    private OptionalLong storedMillis = OptionalLong.empty();
 
     private boolean syncing;
     private long nextSyncMillis;
     private boolean syncPlanned;
 
     SoftwareWatch(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
-        this.directory = directory;
+        this.listed = new ListedVersions(directory);
         this.clock = clock;
         this.random = random;
     }
@@ -61,47 +57,47 @@
 
     /** Returns how much older the list of servers is than a time of the store's clock; 0 if it is not older. */
     OptionalLong listAgeMillis(long storeMillis) {
-        return listMillis.stream()
-                .map(millis -> Math.max(0, storeMillis - millis))
-                .findFirst();
+        return listed.ageMillis(storeMillis);
+    }
+
+    /** Returns a history after a look at the list of servers. */
+    private SoftwareHistory observed(SoftwareHistory before) {
+        boolean mayEnd = storedMillis.isEmpty() || listed.isKnownAfter(storedMillis.getAsLong());
+        Map<String, Set<String>> versions = listed.byService();
+        return before.observe(mayEnd ? versions : union(versions, stored.openVersions()), clock.millis());
     }
 
-    private Map<String, Set<String>> listedVersions() {
-        Map<String, Set<String>> listed = new HashMap<>();
-        listedMillis
-                .keySet()
-                .forEach(key -> listed.computeIfAbsent(key.service(), service -> new HashSet<>())
-                        .add(key.version()));
-        return listed;
+    private static Map<String, Set<String>> union(Map<String, Set<String>> one, Map<String, Set<String>> other) {
+        Map<String, Set<String>> union = new HashMap<>();
+        one.forEach((service, versions) -> union.put(service, new HashSet<>(versions)));
+        other.forEach((service, versions) ->
+                union.computeIfAbsent(service, key -> new HashSet<>()).addAll(versions));
+        return union;
     }
 
     // -- commands
 
     /** Records up to which time of the store's clock the list of servers is known. */
     void recordListRead(long storeMillis) {
-        listMillis = OptionalLong.of(Math.max(storeMillis, listMillis.orElse(storeMillis)));
+        listed.recordListRead(storeMillis);
     }
 
     /** Looks at the list of servers. */
     void look() {
-        if (!clock.isKnown()) {
-            return;
+        if (clock.isKnown()) {
+            listed.look(clock.millis());
+            history = observed(history);
         }
-        long nowMillis = clock.millis();
-        directory.all().forEach(state -> listedMillis.put(key(state.server()), nowMillis));
-        listedMillis.values().removeIf(lastMillis -> nowMillis - lastMillis > MISSING_TIME.toMillis());
-        history = history.observe(listedVersions(), nowMillis);
     }
 
     /** Looks at the list of servers, and brings the store's row up to date if a version has come or gone. */
     void tick(StreamStore store) {
         look();
-        if (listedMillis.isEmpty()) {
+        if (listed.isEmpty()) {
             return;
         }
         long nowMillis = clock.millis();
-        boolean changed = !stored.observe(listedVersions(), nowMillis).equals(stored);
-        if (!changed) {
+        if (observed(stored).equals(stored)) {
             syncPlanned = false;
         } else if (!syncPlanned) {
             syncPlanned = true;
@@ -113,14 +109,17 @@
         }
     }
 
-    private static ServiceVersion key(BackendServer server) {
-        return new ServiceVersion(server.service(), server.softwareVersion());
-    }
-
-    /** Takes over what the store's row had. */
+    /** Takes over what the store's row had, unless a newer row is known. */
     void apply(StreamRecords records) {
-        stored = records.history();
-        history = history.joinedWith(stored).observe(listedVersions(), clock.millis());
+        boolean older = records.historyVersion() > 0 && records.historyVersion() < storedVersion;
+        if (!older) {
+            if (storedMillis.isEmpty() || records.historyVersion() != storedVersion) {
+                storedMillis = OptionalLong.of(records.readMillis());
+            }
+            stored = records.history();
+            storedVersion = records.historyVersion();
+            history = observed(history.joinedWith(stored));
+        }
     }
 
     private void sync(StreamStore store) {
@@ -128,10 +127,10 @@
         store.read()
                 .thenCompose(records -> {
                     apply(records);
-                    SoftwareHistory next = stored.observe(listedVersions(), clock.millis());
+                    SoftwareHistory next = observed(stored);
                     return next.equals(stored)
-                            ? CompletableFuture.completedFuture(OptionalLong.of(records.historyVersion()))
-                            : write(store, records.historyVersion(), next);
+                            ? CompletableFuture.completedFuture(OptionalLong.of(storedVersion))
+                            : write(store, next);
                 })
                 .whenComplete((version, failure) -> {
                     syncing = false;
@@ -142,17 +141,24 @@
                 });
     }
 
-    private CompletableFuture<OptionalLong> write(StreamStore store, long expectedVersion, SoftwareHistory next) {
+    private CompletableFuture<OptionalLong> write(StreamStore store, SoftwareHistory next) {
         LogEvent.of("software_versions")
                 .with("before", stored.toString().replace('\n', ';'))
                 .with("now", next.toString().replace('\n', ';'))
                 .with("list_age_ms", listAgeMillis(clock.millis()).orElse(-1))
                 .info();
+        long expectedVersion = storedVersion;
         return store.writeHistory(expectedVersion, next).thenApply(version -> {
-            if (version.isPresent()) {
-                stored = next;
-            }
+            version.ifPresent(written -> applyWritten(expectedVersion, written, next));
             return version;
         });
     }
+
+    /** Takes over what this entry has written, unless a newer row was read meanwhile. */
+    private void applyWritten(long expectedVersion, long written, SoftwareHistory next) {
+        if (storedVersion == expectedVersion) {
+            stored = next;
+            storedVersion = written;
+        }
+    }
 }
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -43,6 +43,7 @@
     private void advance(long millis) {
         for (long i = 0; i < millis; i += 100) {
             nowMillis += 100;
+            registry.recordListRead(nowMillis);
             registry.tick();
         }
     }
@@ -50,6 +51,7 @@
     /** As after a restart of all entries. */
     private StreamRegistry restarted() {
         StreamRegistry other = StreamRegistry.of(directory, clock, new Random(2));
+        other.recordListRead(nowMillis);
         other.recordIn("host-b", store);
         return other;
     }
