--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -36,6 +37,11 @@
     /** How long the result of a read holds for streams that it did not have. */
     private static final Duration READ_VALIDITY = Duration.ofMillis(250);
 
+    /** The shortest contact time that the feed of servers can keep to, and what its calls take beyond that time. */
+    private static final Duration MIN_CONTACT_TIME = Duration.ofSeconds(2);
+
+    private static final Duration LIST_MARGIN = Duration.ofSeconds(1);
+
     private final SharedClock clock;
     private final SoftwareWatch software;
     private final StreamOrigins origins = StreamOrigins.empty();
@@ -53,6 +59,9 @@
 
     private StreamRecorder recorder;
 
+    /** How old the list of servers may be that tells which versions there are. */
+    private Duration maxListAge = MIN_CONTACT_TIME.plus(LIST_MARGIN);
+
     /** The read in progress or the last one, and when it began. */
     private CompletableFuture<StreamRecords> lastRead;
 
@@ -95,8 +104,9 @@
         if (known.isPresent() || store == null || !clock.isKnown()) {
             return CompletableFuture.completedFuture(TakeUp.withoutStore(known));
         }
+        long sinceMillis = clock.millis() - lifetime.toMillis();
         return read().handle((records, failure) -> failure == null
-                ? answer(known(firstRequestId, service), records, service, lifetime)
+                ? answer(known(firstRequestId, service), records, service, sinceMillis)
                 : TakeUp.withoutStore(Optional.empty()));
     }
 
@@ -107,8 +117,8 @@
                 .map(StreamOrigin::softwareVersion);
     }
 
-    private TakeUp answer(Optional<String> recorded, StreamRecords records, String service, Duration lifetime) {
-        long sinceMillis = clock.millis() - lifetime.toMillis();
+    private TakeUp answer(Optional<String> recorded, StreamRecords records, String service, long sinceMillis) {
+        OptionalLong listAgeMillis = software.listAgeMillis(records.readMillis());
         Set<String> versions = possibleVersions(records, service, sinceMillis);
         TakeUpBasis basis = TakeUpBasis.ONLY_VERSION;
         if (recorded.isPresent()) {
@@ -117,13 +127,14 @@
             basis = TakeUpBasis.HISTORY_SHORT;
         } else if (versions.size() != 1) {
             basis = TakeUpBasis.SEVERAL_VERSIONS;
+        } else if (listAgeMillis.isEmpty() || listAgeMillis.getAsLong() > maxListAge.toMillis()) {
+            basis = TakeUpBasis.LIST_OUTDATED;
         }
-        Optional<String> only = versions.stream().findFirst().filter(version -> versions.size() == 1);
         return new TakeUp(
-                basis == TakeUpBasis.ONLY_VERSION ? only : recorded,
+                basis == TakeUpBasis.ONLY_VERSION ? versions.stream().findFirst() : recorded,
                 basis,
                 OptionalLong.of(clock.millis() - records.readMillis()),
-                software.listAgeMillis(records.readMillis()));
+                listAgeMillis);
     }
 
     /** Returns the versions that can have begun a stream of a service. */
@@ -161,8 +172,11 @@
      *
      * @param host the name of this host
      * @param newStore the store
+     * @param contactTime how long an entry may take to learn what the store has; its list of servers may be older by
+     *     one call, and counts as out of date after that
      */
-    public void recordIn(String host, StreamStore newStore) {
+    public void recordIn(String host, StreamStore newStore, Duration contactTime) {
+        maxListAge = Collections.max(List.of(contactTime, MIN_CONTACT_TIME)).plus(LIST_MARGIN);
         recorder = new StreamRecorder(requireNonNull(host, "host is null"), clock);
         store = requireNonNull(newStore, "newStore is null");
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
@@ -15,7 +15,9 @@
     /** Nothing: the history does not reach back for as long as the stream can have lasted. */
     HISTORY_SHORT,
     /** Nothing: several versions can have begun it. */
-    SEVERAL_VERSIONS;
+    SEVERAL_VERSIONS,
+    /** Nothing: the entry's list of servers is so old that it may miss a version. */
+    LIST_OUTDATED;
 
     // -- queries
 
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -22,6 +22,7 @@
 /** Guards against streams that go on at another version at an entry that was out of step with the others. */
 final class EntryOutOfStepTest {
     private static final Duration LIFETIME = Duration.ofSeconds(6);
+    private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
 
     private long nowMillis = 1_000_000;
     private final RowStore rows = new RowStore(() -> nowMillis);
@@ -90,7 +91,7 @@
         private Entry(String host, long seed) {
             clock.observe(nowMillis);
             registry = StreamRegistry.of(directory, clock, new Random(seed));
-            registry.recordIn(host, store);
+            registry.recordIn(host, store, CONTACT_TIME);
         }
 
         private void tick() {
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -17,6 +17,7 @@
 
 final class StreamRegistryTest {
     private static final Duration LIFETIME = Duration.ofSeconds(6);
+    private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
     private static final long START = 1_000_000;
 
     private long nowMillis = START;
@@ -29,7 +30,7 @@
     void start() {
         clock.observe(START);
         list("server-1", "v1");
-        registry.recordIn("host-a", store);
+        registry.recordIn("host-a", store, CONTACT_TIME);
     }
 
     private void list(String id, String version) {
@@ -52,7 +53,7 @@
     private StreamRegistry restarted() {
         StreamRegistry other = StreamRegistry.of(directory, clock, new Random(2));
         other.recordListRead(nowMillis);
-        other.recordIn("host-b", store);
+        other.recordIn("host-b", store, CONTACT_TIME);
         return other;
     }
 
