--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -37,6 +37,12 @@
     /** How long the result of a read holds for streams that it did not have. */
     private static final Duration READ_VALIDITY = Duration.ofMillis(250);
 
+    /**
+     * How long after a version has no listed server an entry that is cut off from the store may still send streams
+     * there. The servers serve for some seconds after they have left.
+     */
+    private static final Duration USE_AFTER_END = Duration.ofSeconds(10);
+
     /** The shortest contact time that the feed of servers can keep to, and what its calls take beyond that time. */
     private static final Duration MIN_CONTACT_TIME = Duration.ofSeconds(2);
 
@@ -139,17 +145,18 @@
 
     /** Returns the versions that can have begun a stream of a service. */
     private Set<String> possibleVersions(StreamRecords records, String service, long sinceMillis) {
-        Set<String> versions = new HashSet<>(records.history().versionsSince(service, sinceMillis));
-        versions.addAll(software.history().versionsSince(service, sinceMillis));
+        long usedSinceMillis = sinceMillis - USE_AFTER_END.toMillis();
+        Set<String> versions = new HashSet<>(records.history().versionsSince(service, usedSinceMillis));
+        versions.addAll(software.history().versionsSince(service, usedSinceMillis));
         return versions;
     }
 
     private boolean isMixed(String service, Duration lifetime) {
-        return clock.isKnown()
-                && software.history()
-                                .versionsSince(service, clock.millis() - lifetime.toMillis())
-                                .size()
-                        > 1;
+        if (!clock.isKnown()) {
+            return false;
+        }
+        long usedSinceMillis = clock.millis() - lifetime.plus(USE_AFTER_END).toMillis();
+        return software.history().versionsSince(service, usedSinceMillis).size() > 1;
     }
 
     /**
