--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/AttemptLog.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.geraniumford.core.fleet.ServerLoad;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.forward.AttemptFailure;
@@ -38,6 +39,20 @@
                 .info();
     }
 
+    /** Logs what has become of a request. */
+    static void requestEnd(
+            AdmittedRequest admitted, Set<String> attemptedServers, ResponseTimes times, String outcome) {
+        LogEvent.of("request")
+                .with("request", admitted.request().id())
+                .with("route", admitted.route().name())
+                .with("configuration", admitted.configurationVersion())
+                .with("servers", attemptedServers)
+                .with("first_ms", times.firstBytesMillis())
+                .with("ms", times.elapsedMillis())
+                .with("outcome", outcome)
+                .info();
+    }
+
     private static String weightsText(OptionalInt version) {
         return version.isPresent() ? String.valueOf(version.getAsInt()) : "unknown";
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/ForwardedRequest.java
@@ -61,7 +61,7 @@
         this.times = new ResponseTimes(gateway.metrics(), exchange.headReadNanos());
         this.charge = gateway.state().customerLimits().charge(admitted);
         this.planner = new DispatchPlanner(gateway, admitted, exchange.request(), this::timeLeft);
-        this.software = new StreamSoftware(gateway, admitted, planner);
+        this.software = new StreamSoftware(gateway, admitted, planner, stream);
     }
 
     // -- queries
@@ -101,11 +101,8 @@
 
     void start() {
         exchange.onDisconnected(this::handleCallerDisconnect);
-        exchange.onWritableChanged(() -> {
-            if (attempt != null) {
-                attempt.setReading(exchange.isWritable());
-            }
-        });
+        exchange.onWritableChanged(this::matchPace);
+        stream.onReleased(this::matchPace);
         deadlineTimer = gateway.loop()
                 .schedule(this::handleDeadlineExpired, Math.max(0, timeLeft().toMillis()), TimeUnit.MILLISECONDS);
         software.resolve().thenAccept(refusal -> endIfThrown(() -> startUnlessRefused(refusal)));
@@ -302,17 +299,24 @@
             software.recordFirstEvent();
             times.recordFirstBytes();
         }
-        if (!exchange.isWritable() && attempt != null) {
-            attempt.setReading(false);
-        }
+        matchPace();
         return true;
     }
 
+    /** Reads from the server only as fast as the caller receives. */
+    private void matchPace() {
+        if (attempt != null && !finished) {
+            attempt.setReading(stream.hasRoom());
+        }
+    }
+
     void completeStream(HttpResponse head) {
-        finish("streamed");
-        times.recordEnd();
         machine.markResponseStarted();
-        stream.end(head);
+        stream.whenReleased(() -> {
+            finish("streamed");
+            times.recordEnd();
+            stream.end(head);
+        });
     }
 
     // -- completion
@@ -336,9 +340,11 @@
     }
 
     private void abortStream(String reason) {
-        finish("cut_off_" + reason);
-        gateway.metrics().countRefusal(Reason.STREAM_BROKEN);
-        exchange.abort();
+        stream.whenReleased(() -> {
+            finish("cut_off_" + reason);
+            gateway.metrics().countRefusal(Reason.STREAM_BROKEN);
+            exchange.abort();
+        });
     }
 
     private void handleCallerDisconnect() {
@@ -353,7 +359,7 @@
         }
         boolean mayHaveRun = machine.mayHaveRun() || (attempt != null && attempt.isSent());
         abortAttempt();
-        if (machine.responseStarted()) {
+        if (exchange.hasBegun()) {
             abortStream("deadline");
         } else if (mayHaveRun) {
             refuse(Refusal.of(Reason.TIMEOUT, Verdict.MAY_HAVE_RUN, "no answer in time"));
@@ -384,17 +390,10 @@
      */
     private void finish(String outcome) {
         finished = true;
+        stream.discardHeld();
         deadlineTimer.cancel(false);
         exchange.release();
         gateway.removeRequest(this);
-        LogEvent.of("request")
-                .with("request", admitted.request().id())
-                .with("route", admitted.route().name())
-                .with("configuration", admitted.configurationVersion())
-                .with("servers", attemptedServers)
-                .with("first_ms", times.firstBytesMillis())
-                .with("ms", times.elapsedMillis())
-                .with("outcome", outcome)
-                .info();
+        AttemptLog.requestEnd(admitted, attemptedServers, times, outcome);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
@@ -20,18 +20,24 @@
     private static final Duration ARRIVAL_MARGIN = Duration.ofSeconds(1);
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final StreamRegistry streams;
     private final AdmittedRequest admitted;
     private final DispatchPlanner planner;
+    private final StreamedResponse response;
 
     /** The version at the server of the last attempt. */
     private String attemptedVersion = "";
 
-    StreamSoftware(Gateway gateway, AdmittedRequest admitted, DispatchPlanner planner) {
+    /** Complete once that version is known to all entries. */
+    private CompletableFuture<Void> known = CompletableFuture.completedFuture(null);
+
+    StreamSoftware(Gateway gateway, AdmittedRequest admitted, DispatchPlanner planner, StreamedResponse response) {
         this.streams = gateway.state().streams();
         this.admitted = admitted;
         this.planner = planner;
+        this.response = response;
     }
 
     // -- queries
@@ -89,14 +95,34 @@
                 .info();
     }
 
-    /** Records that a server is sent the request, of which no event has arrived yet. */
+    /**
+     * Records that a server is sent the request, of which no event has arrived yet. Its events are held back until its
+     * version is known to all entries.
+     */
     void beginAttempt(ServerState server) {
         attemptedVersion = server.server().softwareVersion();
         if (admitted.route().resumable() && !isTakenUp()) {
             streams.begin(admitted.request().id(), admitted.service(), attemptedVersion, lifetime());
+            holdUntilKnown(streams.whenKnownToAll(admitted.service(), attemptedVersion));
         }
     }
 
+    private void holdUntilKnown(CompletableFuture<Void> newest) {
+        known = newest;
+        response.hold();
+        long startNanos = System.nanoTime();
+        newest.thenRun(() -> {
+            if (newest == known && response.release()) {
+                LogEvent.of("stream_held")
+                        .with("request", admitted.request().id())
+                        .with("service", admitted.service())
+                        .with("software", attemptedVersion)
+                        .with("ms", (System.nanoTime() - startNanos) / NANOS_PER_MILLI)
+                        .info();
+            }
+        });
+    }
+
     /** Keeps the stream at the version of the last attempt, whose first event has arrived. */
     void recordFirstEvent() {
         planner.goOnAt(attemptedVersion);
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -15,10 +15,17 @@
 
 /**
  * Keeps the history of the versions of servers' software, here and in the store. The store's row is read and written
- * only when a version comes or goes. A version that the row has is ended only by a list of servers that was read after
- * the row: an earlier one may not have seen it yet. Used on one network thread.
+ * only when a version comes or goes, or when its content may have changed unseen. A version that the row has is ended
+ * only by a list of servers that was read after the row: an earlier one may not have seen it yet. Used on one network
+ * thread.
  */
 final class SoftwareWatch {
+    /**
+     * How long after a version has no listed server an entry that is cut off from the store may still send streams
+     * there. The servers serve for some seconds after they have left.
+     */
+    static final Duration USE_AFTER_END = Duration.ofSeconds(10);
+
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     /** All entries see a change at about the same time; one of them writes it, if the others look a little later. */
@@ -60,6 +67,11 @@
         return listed.ageMillis(storeMillis);
     }
 
+    /** Returns whether every entry that may tell an only version knows of a version; see {@link ListedVersions}. */
+    boolean isKnownToAll(String service, String version, Duration maxListAge) {
+        return listed.isKnownToAll(service, version, clock.millis(), maxListAge);
+    }
+
     /** Returns a history after a look at the list of servers. */
     private SoftwareHistory observed(SoftwareHistory before) {
         boolean mayEnd = storedMillis.isEmpty() || listed.isKnownAfter(storedMillis.getAsLong());
@@ -79,7 +91,7 @@
 
     /** Records up to which time of the store's clock the list of servers is known. */
     void recordListRead(long storeMillis) {
-        listed.recordListRead(storeMillis);
+        listed.recordListRead(storeMillis, clock.millis());
     }
 
     /** Looks at the list of servers. */
@@ -97,7 +109,7 @@
             return;
         }
         long nowMillis = clock.millis();
-        if (observed(stored).equals(stored)) {
+        if (observed(stored).equals(stored) && !listed.hasUnrecorded()) {
             syncPlanned = false;
         } else if (!syncPlanned) {
             syncPlanned = true;
@@ -119,6 +131,7 @@
             stored = records.history();
             storedVersion = records.historyVersion();
             history = observed(history.joinedWith(stored));
+            listed.recordRow(stored.openVersions(), clock.millis());
         }
     }
 
@@ -135,7 +148,8 @@
                 .whenComplete((version, failure) -> {
                     syncing = false;
                     syncPlanned = false;
-                    if (failure != null || version.isEmpty()) {
+                    // Another entry that was quicker is read again at once.
+                    if (failure != null) {
                         nextSyncMillis = clock.millis() + RETRY_DELAY.toMillis();
                     }
                 });
@@ -159,6 +173,7 @@
         if (storedVersion == expectedVersion) {
             stored = next;
             storedVersion = written;
+            listed.recordRow(stored.openVersions(), clock.millis());
         }
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -8,6 +8,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,17 +38,13 @@
     /** How long the result of a read holds for streams that it did not have. */
     private static final Duration READ_VALIDITY = Duration.ofMillis(250);
 
-    /**
-     * How long after a version has no listed server an entry that is cut off from the store may still send streams
-     * there. The servers serve for some seconds after they have left.
-     */
-    private static final Duration USE_AFTER_END = Duration.ofSeconds(10);
-
     /** The shortest contact time that the feed of servers can keep to, and what its calls take beyond that time. */
     private static final Duration MIN_CONTACT_TIME = Duration.ofSeconds(2);
 
     private static final Duration LIST_MARGIN = Duration.ofSeconds(1);
 
+    private record ServiceVersion(String service, String version) {}
+
     private final SharedClock clock;
     private final SoftwareWatch software;
     private final StreamOrigins origins = StreamOrigins.empty();
@@ -68,6 +65,9 @@
     /** How old the list of servers may be that tells which versions there are. */
     private Duration maxListAge = MIN_CONTACT_TIME.plus(LIST_MARGIN);
 
+    /** What waits until a version of a service is known to all entries. */
+    private final Map<ServiceVersion, CompletableFuture<Void>> unknownVersions = new HashMap<>();
+
     /** The read in progress or the last one, and when it began. */
     private CompletableFuture<StreamRecords> lastRead;
 
@@ -145,7 +145,7 @@
 
     /** Returns the versions that can have begun a stream of a service. */
     private Set<String> possibleVersions(StreamRecords records, String service, long sinceMillis) {
-        long usedSinceMillis = sinceMillis - USE_AFTER_END.toMillis();
+        long usedSinceMillis = sinceMillis - SoftwareWatch.USE_AFTER_END.toMillis();
         Set<String> versions = new HashSet<>(records.history().versionsSince(service, usedSinceMillis));
         versions.addAll(software.history().versionsSince(service, usedSinceMillis));
         return versions;
@@ -155,10 +155,33 @@
         if (!clock.isKnown()) {
             return false;
         }
-        long usedSinceMillis = clock.millis() - lifetime.plus(USE_AFTER_END).toMillis();
+        long usedSinceMillis =
+                clock.millis() - lifetime.plus(SoftwareWatch.USE_AFTER_END).toMillis();
         return software.history().versionsSince(service, usedSinceMillis).size() > 1;
     }
 
+    /**
+     * Returns when callers may receive events of a stream that servers with a version have begun. A caller that has an
+     * event may take its stream up anywhere, so that until then an entry that has not heard of the version could go on
+     * with it at another one.
+     *
+     * @param service the service
+     * @param softwareVersion the version of the servers' software
+     * @return complete once the version is in the store's history, or has been listed for so long that every list that
+     *     counts has it. Completes on the network thread
+     */
+    public CompletableFuture<Void> whenKnownToAll(String service, String softwareVersion) {
+        if (isKnownToAll(service, softwareVersion)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return unknownVersions.computeIfAbsent(
+                new ServiceVersion(service, softwareVersion), key -> new CompletableFuture<>());
+    }
+
+    private boolean isKnownToAll(String service, String softwareVersion) {
+        return store == null || !clock.isKnown() || software.isKnownToAll(service, softwareVersion, maxListAge);
+    }
+
     /**
      * Returns what peers have to learn.
      *
@@ -276,6 +299,7 @@
         if (!clock.isKnown()) {
             return;
         }
+        releaseKnownVersions();
         announceMixed();
         recorder.tick(store);
         long nowMillis = clock.millis();
@@ -285,6 +309,13 @@
         }
     }
 
+    private void releaseKnownVersions() {
+        List<ServiceVersion> known = unknownVersions.keySet().stream()
+                .filter(key -> isKnownToAll(key.service(), key.version()))
+                .toList();
+        known.forEach(key -> unknownVersions.remove(key).complete(null));
+    }
+
     /** Reads the store, or takes the result of a read that began a moment ago. */
     private CompletableFuture<StreamRecords> read() {
         long nowMillis = clock.millis();
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -81,6 +81,63 @@
         assertThat(one.softwareOf("id")).isEmpty();
     }
 
+    /** Without an event its caller has nothing to take up. */
+    @Test
+    void shouldHoldEventsBackUntilTheirVersionIsRecordedOrInEveryListThatCounts() {
+        other.store.failing = true;
+        one.store.failing = true;
+        listed.put("server-2", "v2");
+        advance(100);
+        CompletableFuture<Void> known = other.begin("v2");
+        advance(4000);
+        assertThat(known).isNotDone();
+        assertThat(other.begin("v1")).isDone();
+        advance(400);
+        assertThat(known).isDone();
+        assertThat(one.softwareOf("unknown")).isEmpty();
+    }
+
+    @Test
+    void shouldReleaseEventsSoonAfterTheirVersionIsRecorded() {
+        listed.put("server-2", "v2");
+        advance(100);
+        CompletableFuture<Void> known = other.begin("v2");
+        assertThat(known).isNotDone();
+        one.readsList = false;
+        advance(800);
+        assertThat(known).isDone();
+        assertThat(one.softwareOf("unknown")).isEmpty();
+    }
+
+    /** What the other entry knew before may have been ended and listed again without its notice. */
+    @Test
+    void shouldReadTheHistoryAgainAfterItsListWasOutOfDateForLong() {
+        other.readsList = false;
+        other.store.failing = true;
+        listed.clear();
+        listed.put("server-2", "v2");
+        advance(20_000);
+        assertThat(rows.history.openVersions().get("service")).containsExactly("v2");
+        one.store.failing = true;
+        listed.put("server-1", "v1");
+        other.readsList = true;
+        advance(100);
+        CompletableFuture<Void> known = other.begin("v1");
+        assertThat(known).isNotDone();
+        other.store.failing = false;
+        advance(1500);
+        assertThat(known).isDone();
+        assertThat(rows.history.openVersions().get("service")).contains("v1");
+    }
+
+    /** Each call is billed. */
+    @Test
+    void shouldNotCallTheStoreWhileVersionsStayTheSame() {
+        int before = rows.reads;
+        advance(60_000);
+        assertThat(rows.reads).isEqualTo(before);
+    }
+
     private final class Entry {
         private final ServerDirectory directory = ServerDirectory.empty(name -> Optional.empty());
         private final SharedClock clock = SharedClock.of(() -> nowMillis * 1_000_000);
@@ -110,6 +167,12 @@
             return new BackendServer(id, 1, "service", "10.0.0.1:80", "a", version, 4, false, Map.of());
         }
 
+        /** Begins a stream, and returns when its caller may receive events. */
+        private CompletableFuture<Void> begin(String version) {
+            registry.begin("id", "service", version, LIFETIME);
+            return registry.whenKnownToAll("service", version);
+        }
+
         private Optional<String> softwareOf(String requestId) {
             return registry.softwareOf(Optional.of(requestId), "service", LIFETIME)
                     .join()
