--- a/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -130,6 +130,17 @@
         assertThat(rows.history.openVersions().get("service")).contains("v1");
     }
 
+    /** The first attempt was told when it was sent; the second one, at another version, only the other entry knows. */
+    @Test
+    void shouldNotGoOnAtTheVersionOfAnAttemptThatBroughtNoEvent() {
+        listed.put("server-2", "v2");
+        advance(1000);
+        other.begin("v1");
+        one.registry.applyGossip(other.registry.gossip(false));
+        other.begin("v2");
+        assertThat(one.softwareOf("id")).isNotEqualTo(Optional.of("v1"));
+    }
+
     /** Each call is billed. */
     @Test
     void shouldNotCallTheStoreWhileVersionsStayTheSame() {
