--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
@@ -10,6 +10,7 @@
 import org.geraniumford.daemon.streams.StreamRegistry;
 import org.geraniumford.daemon.streams.TakeUp;
 import org.geraniumford.transport.log.LogEvent;
+import org.geraniumford.transport.worker.Guarded;
 
 /**
  * Keeps one stream at servers with one version of their software: the one that sent its first event, in this response
@@ -111,16 +112,19 @@
         known = newest;
         response.hold();
         long startNanos = System.nanoTime();
-        newest.thenRun(() -> {
-            if (newest == known && response.release()) {
-                LogEvent.of("stream_held")
-                        .with("request", admitted.request().id())
-                        .with("service", admitted.service())
-                        .with("software", attemptedVersion)
-                        .with("ms", (System.nanoTime() - startNanos) / NANOS_PER_MILLI)
-                        .info();
-            }
-        });
+        newest.thenRun(() -> Guarded.run("release of a stream", () -> release(newest, startNanos)));
+    }
+
+    /** Sends what was held back, unless a later attempt is held back until another version is known. */
+    private void release(CompletableFuture<Void> released, long startNanos) {
+        if (released == known && response.release()) {
+            LogEvent.of("stream_held")
+                    .with("request", admitted.request().id())
+                    .with("service", admitted.service())
+                    .with("software", attemptedVersion)
+                    .with("ms", (System.nanoTime() - startNanos) / NANOS_PER_MILLI)
+                    .info();
+        }
     }
 
     /** Keeps the stream at the version of the last attempt, whose first event has arrived. */
