--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
@@ -8,7 +8,9 @@
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
 import org.geraniumford.daemon.streams.StreamRegistry;
+import org.geraniumford.daemon.streams.TakeUp;
 import org.geraniumford.transport.log.LogEvent;
+import org.geraniumford.transport.worker.Guarded;
 
 /**
  * Keeps one stream at servers with one version of their software: the one that sent its first event, in this response
@@ -19,18 +21,24 @@
     private static final Duration ARRIVAL_MARGIN = Duration.ofSeconds(1);
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final StreamRegistry streams;
     private final AdmittedRequest admitted;
     private final DispatchPlanner planner;
+    private final StreamedResponse response;
 
     /** The version at the server of the last attempt. */
     private String attemptedVersion = "";
 
-    StreamSoftware(Gateway gateway, AdmittedRequest admitted, DispatchPlanner planner) {
+    /** Complete once that version is known to all entries. */
+    private CompletableFuture<Void> known = CompletableFuture.completedFuture(null);
+
+    StreamSoftware(Gateway gateway, AdmittedRequest admitted, DispatchPlanner planner, StreamedResponse response) {
         this.streams = gateway.state().streams();
         this.admitted = admitted;
         this.planner = planner;
+        this.response = response;
     }
 
     // -- queries
@@ -58,10 +66,10 @@
         }
         Optional<String> firstRequestId = admitted.request().position().flatMap(StreamPosition::firstRequestId);
         return streams.softwareOf(firstRequestId, admitted.service(), lifetime())
-                .thenApply(version -> {
-                    log(firstRequestId, version);
-                    version.ifPresent(planner::goOnAt);
-                    return refusal(version);
+                .thenApply(takeUp -> {
+                    log(firstRequestId, takeUp);
+                    takeUp.version().ifPresent(planner::goOnAt);
+                    return refusal(takeUp.version());
                 });
     }
 
@@ -77,20 +85,46 @@
                         .withRetryAfter(RETRY_AFTER));
     }
 
-    private void log(Optional<String> firstRequestId, Optional<String> version) {
+    private void log(Optional<String> firstRequestId, TakeUp takeUp) {
         LogEvent.of("stream_taken_up")
                 .with("request", admitted.request().id())
                 .with("first", firstRequestId.orElse(""))
                 .with("service", admitted.service())
-                .with("software", version.orElse("unknown"))
+                .with("software", takeUp.version().orElse("unknown"))
+                .with("basis", takeUp.basis().label())
+                .with("read_age_ms", takeUp.readAgeMillis().orElse(-1))
+                .with("list_age_ms", takeUp.listAgeMillis().orElse(-1))
                 .info();
     }
 
-    /** Records that a server is sent the request, of which no event has arrived yet. */
+    /**
+     * Records that a server is sent the request, of which no event has arrived yet. Its events are held back until its
+     * version is known to all entries.
+     */
     void beginAttempt(ServerState server) {
         attemptedVersion = server.server().softwareVersion();
         if (admitted.route().resumable() && !isTakenUp()) {
             streams.begin(admitted.request().id(), admitted.service(), attemptedVersion, lifetime());
+            holdUntilKnown(streams.whenKnownToAll(admitted.service(), attemptedVersion));
+        }
+    }
+
+    private void holdUntilKnown(CompletableFuture<Void> newest) {
+        known = newest;
+        response.hold();
+        long startNanos = System.nanoTime();
+        newest.thenRun(() -> Guarded.run("release of a stream", () -> release(newest, startNanos)));
+    }
+
+    /** Sends what was held back, unless a later attempt is held back until another version is known. */
+    private void release(CompletableFuture<Void> released, long startNanos) {
+        if (released == known && response.release()) {
+            LogEvent.of("stream_held")
+                    .with("request", admitted.request().id())
+                    .with("service", admitted.service())
+                    .with("software", attemptedVersion)
+                    .with("ms", (System.nanoTime() - startNanos) / NANOS_PER_MILLI)
+                    .info();
         }
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -6,12 +6,15 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -35,6 +38,13 @@
     /** How long the result of a read holds for streams that it did not have. */
     private static final Duration READ_VALIDITY = Duration.ofMillis(250);
 
+    /** The shortest contact time that the feed of servers can keep to, and what its calls take beyond that time. */
+    private static final Duration MIN_CONTACT_TIME = Duration.ofSeconds(2);
+
+    private static final Duration LIST_MARGIN = Duration.ofSeconds(1);
+
+    private record ServiceVersion(String service, String version) {}
+
     private final SharedClock clock;
     private final SoftwareWatch software;
     private final StreamOrigins origins = StreamOrigins.empty();
@@ -52,10 +62,16 @@
 
     private StreamRecorder recorder;
 
+    /** How old the list of servers may be that tells which versions there are. */
+    private Duration maxListAge = MIN_CONTACT_TIME.plus(LIST_MARGIN);
+
+    /** What waits until a version of a service is known to all entries. */
+    private final Map<ServiceVersion, CompletableFuture<Void>> unknownVersions = new HashMap<>();
+
     /** The read in progress or the last one, and when it began. */
     private CompletableFuture<StreamRecords> lastRead;
 
-    private long lastReadNanos;
+    private long lastReadMillis;
 
     private StreamRegistry(ServerDirectory directory, SharedClock clock, RandomGenerator random) {
         this.clock = clock;
@@ -87,18 +103,17 @@
      * @param firstRequestId the id of the request that brought its first event; empty if its caller names none
      * @param service the service that must go on with it
      * @param lifetime how long ago it may have been begun
-     * @return the version; empty if it cannot be known, so that no server may go on with the stream. Completes on the
-     *     network thread
+     * @return the version, if it is known, and what that rests on. Completes on the network thread
      */
-    public CompletableFuture<Optional<String>> softwareOf(
-            Optional<String> firstRequestId, String service, Duration lifetime) {
+    public CompletableFuture<TakeUp> softwareOf(Optional<String> firstRequestId, String service, Duration lifetime) {
         Optional<String> known = known(firstRequestId, service);
         if (known.isPresent() || store == null || !clock.isKnown()) {
-            return CompletableFuture.completedFuture(known);
+            return CompletableFuture.completedFuture(TakeUp.withoutStore(known));
         }
+        long sinceMillis = clock.millis() - lifetime.toMillis();
         return read().handle((records, failure) -> failure == null
-                ? known(firstRequestId, service).or(() -> onlyVersion(records, service, lifetime))
-                : Optional.empty());
+                ? answer(known(firstRequestId, service), records, service, sinceMillis)
+                : TakeUp.withoutStore(Optional.empty()));
     }
 
     private Optional<String> known(Optional<String> firstRequestId, String service) {
@@ -108,22 +123,63 @@
                 .map(StreamOrigin::softwareVersion);
     }
 
-    /** Returns the version that all servers of a service have had for as long as a stream can have lasted. */
-    private Optional<String> onlyVersion(StreamRecords records, String service, Duration lifetime) {
-        long sinceMillis = clock.millis() - lifetime.toMillis();
-        Set<String> versions = new HashSet<>(records.history().versionsSince(service, sinceMillis));
-        versions.addAll(software.history().versionsSince(service, sinceMillis));
-        return versions.size() == 1 && records.history().reachesBackTo(service, sinceMillis)
-                ? versions.stream().findFirst()
-                : Optional.empty();
+    private TakeUp answer(Optional<String> recorded, StreamRecords records, String service, long sinceMillis) {
+        OptionalLong listAgeMillis = software.listAgeMillis(records.readMillis());
+        Set<String> versions = possibleVersions(records, service, sinceMillis);
+        TakeUpBasis basis = TakeUpBasis.ONLY_VERSION;
+        if (recorded.isPresent()) {
+            basis = TakeUpBasis.RECORD;
+        } else if (!records.history().reachesBackTo(service, sinceMillis)) {
+            basis = TakeUpBasis.HISTORY_SHORT;
+        } else if (versions.size() != 1) {
+            basis = TakeUpBasis.SEVERAL_VERSIONS;
+        } else if (listAgeMillis.isEmpty() || listAgeMillis.getAsLong() > maxListAge.toMillis()) {
+            basis = TakeUpBasis.LIST_OUTDATED;
+        }
+        return new TakeUp(
+                basis == TakeUpBasis.ONLY_VERSION ? versions.stream().findFirst() : recorded,
+                basis,
+                OptionalLong.of(clock.millis() - records.readMillis()),
+                listAgeMillis);
+    }
+
+    /** Returns the versions that can have begun a stream of a service. */
+    private Set<String> possibleVersions(StreamRecords records, String service, long sinceMillis) {
+        long usedSinceMillis = sinceMillis - SoftwareWatch.USE_AFTER_END.toMillis();
+        Set<String> versions = new HashSet<>(records.history().versionsSince(service, usedSinceMillis));
+        versions.addAll(software.history().versionsSince(service, usedSinceMillis));
+        return versions;
     }
 
     private boolean isMixed(String service, Duration lifetime) {
-        return clock.isKnown()
-                && software.history()
-                                .versionsSince(service, clock.millis() - lifetime.toMillis())
-                                .size()
-                        > 1;
+        if (!clock.isKnown()) {
+            return false;
+        }
+        long usedSinceMillis =
+                clock.millis() - lifetime.plus(SoftwareWatch.USE_AFTER_END).toMillis();
+        return software.history().versionsSince(service, usedSinceMillis).size() > 1;
+    }
+
+    /**
+     * Returns when callers may receive events of a stream that servers with a version have begun. A caller that has an
+     * event may take its stream up anywhere, so that until then an entry that has not heard of the version could go on
+     * with it at another one.
+     *
+     * @param service the service
+     * @param softwareVersion the version of the servers' software
+     * @return complete once the version is in the store's history, or has been listed for so long that every list that
+     *     counts has it. Completes on the network thread
+     */
+    public CompletableFuture<Void> whenKnownToAll(String service, String softwareVersion) {
+        if (isKnownToAll(service, softwareVersion)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return unknownVersions.computeIfAbsent(
+                new ServiceVersion(service, softwareVersion), key -> new CompletableFuture<>());
+    }
+
+    private boolean isKnownToAll(String service, String softwareVersion) {
+        return store == null || !clock.isKnown() || software.isKnownToAll(service, softwareVersion, maxListAge);
     }
 
     /**
@@ -146,8 +202,11 @@
      *
      * @param host the name of this host
      * @param newStore the store
+     * @param contactTime how long an entry may take to learn what the store has; its list of servers may be older by
+     *     one call, and counts as out of date after that
      */
-    public void recordIn(String host, StreamStore newStore) {
+    public void recordIn(String host, StreamStore newStore, Duration contactTime) {
+        maxListAge = Collections.max(List.of(contactTime, MIN_CONTACT_TIME)).plus(LIST_MARGIN);
         recorder = new StreamRecorder(requireNonNull(host, "host is null"), clock);
         store = requireNonNull(newStore, "newStore is null");
     }
@@ -211,6 +270,15 @@
         }
     }
 
+    /**
+     * Records how recent the list of servers is.
+     *
+     * @param storeMillis the time of the store's clock up to which it is known, in milliseconds
+     */
+    public void recordListRead(long storeMillis) {
+        software.recordListRead(storeMillis);
+    }
+
     /**
      * Records which other entries are heard.
      *
@@ -231,6 +299,7 @@
         if (!clock.isKnown()) {
             return;
         }
+        releaseKnownVersions();
         announceMixed();
         recorder.tick(store);
         long nowMillis = clock.millis();
@@ -240,11 +309,18 @@
         }
     }
 
+    private void releaseKnownVersions() {
+        List<ServiceVersion> known = unknownVersions.keySet().stream()
+                .filter(key -> isKnownToAll(key.service(), key.version()))
+                .toList();
+        known.forEach(key -> unknownVersions.remove(key).complete(null));
+    }
+
     /** Reads the store, or takes the result of a read that began a moment ago. */
     private CompletableFuture<StreamRecords> read() {
-        long nowNanos = System.nanoTime();
-        if (lastRead == null || nowNanos - lastReadNanos > READ_VALIDITY.toNanos()) {
-            lastReadNanos = nowNanos;
+        long nowMillis = clock.millis();
+        if (lastRead == null || nowMillis - lastReadMillis > READ_VALIDITY.toMillis()) {
+            lastReadMillis = nowMillis;
             lastRead = store.read().thenApply(this::apply);
         }
         return lastRead;
