--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -70,11 +70,21 @@
     }
 
     /**
-     * Returns whether the row does not exist. It is then written even if there is nothing to order, so that a row that
-     * is missing later was removed.
+     * Returns whether the row is to be written even if there is nothing to order: if it does not exist, so that a row
+     * that is missing later was removed; if this process holds the lease and nothing in the row concerns others any
+     * more, so that a process that starts does not take it for new.
      */
-    boolean isRowMissing() {
-        return known && rowVersion == 0;
+    boolean isRowToWrite() {
+        return (known && rowVersion == 0) || (isOwn() && !lease.released() && isContentOver());
+    }
+
+    private boolean isContentOver() {
+        long nowNanos = clock.nanos();
+        boolean lossOver = lease.ordersLostVersion() > 0 && !sightings.isLossNeeded(nowNanos);
+        boolean intentsOver = !lease.intents().isEmpty()
+                && lease.intents().stream()
+                        .noneMatch(intent -> sightings.isNeeded(intent.key(), extraRetention, nowNanos));
+        return lossOver || intentsOver;
     }
 
     WeightsLease lease() {
@@ -95,6 +105,11 @@
         return lease.term().fencingToken() > 0 && !lease.released() && age().compareTo(LEASE_TIMEOUT) < 0;
     }
 
+    /** Returns whether this process holds the lease, in the term of a fencing token. */
+    boolean isTerm(long fencingToken) {
+        return isOwn() && lease.term().fencingToken() == fencingToken;
+    }
+
     /** Returns how long ago the state of the row was learned. */
     Duration age() {
         return Duration.ofNanos(clock.nanos() - learnedNanos);
@@ -213,7 +228,8 @@
                     .with("known_fence", lease.term().fencingToken())
                     .warn();
         }
-        lease = putBack ? WeightsLease.ofUnreadableRow(newKnownVersion) : newLease;
+        long highestToken = Math.max(newKnownVersion, lease.term().fencingToken());
+        lease = putBack ? WeightsLease.ofUnreadableRow(highestToken) : newLease;
         rowVersion = newRowVersion;
         knownVersion = newKnownVersion;
         learnedNanos = clock.nanos();
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
@@ -30,7 +30,7 @@
     private final EngineAdmin engines;
     private final LocalClock clock;
     private final ServerLimits limits;
-    private final BooleanSupplier leaseHeld;
+    private final LongPredicate termHeld;
     private final OrderListener listener;
     private final ServerState server;
     private final OrderIntent intent;
@@ -49,7 +49,7 @@
      * @param engines the client that sends orders to engines
      * @param clock the clocks of this process
      * @param limits the limits of servers, which reports and orders count against
-     * @param leaseHeld returns whether this host still holds the lease
+     * @param termHeld returns whether this process may still order engines in the term of a fencing token
      * @param listener receives what becomes of the order
      */
     PendingOrder(
@@ -59,7 +59,7 @@
             EngineAdmin engines,
             LocalClock clock,
             ServerLimits limits,
-            BooleanSupplier leaseHeld,
+            LongPredicate termHeld,
             OrderListener listener) {
         this.server = server;
         this.intent = intent;
@@ -67,7 +67,7 @@
         this.engines = engines;
         this.clock = clock;
         this.limits = limits;
-        this.leaseHeld = leaseHeld;
+        this.termHeld = termHeld;
         this.listener = listener;
     }
 
@@ -104,13 +104,21 @@
     }
 
     private void applyReport(EngineReport report) {
-        if (!completeIfLoaded(report) && !report.busy() && !issued) {
+        if (!ended && !completeIfLoaded(report) && !report.busy() && !issued) {
             issue(report.sequence());
         }
     }
 
+    /** Ends this order, because another process holds the lease: what becomes of it concerns that one. */
+    void drop() {
+        ended = true;
+    }
+
     /** Ends this order. A new one may be issued; until then the server receives requests. */
     private void fail() {
+        if (ended) {
+            return;
+        }
         ended = true;
         server.markLoadFailed();
     }
@@ -144,7 +152,7 @@
     }
 
     private boolean isPermitted() {
-        return leaseHeld.getAsBoolean() && issueWindow.isOpen(clock);
+        return !ended && termHeld.test(intent.key().fencingToken()) && issueWindow.isOpen(clock);
     }
 
     /** Decides when the bytes of the order are about to be written. */
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
 import org.geraniumford.core.weights.OrderIntent;
@@ -23,7 +23,7 @@
     private final GatewayState state;
     private final EngineAdmin engines;
     private final LocalClock clock;
-    private final BooleanSupplier leaseHeld;
+    private final LongPredicate termHeld;
     private final Map<String, PendingOrder> orders = new HashMap<>();
     private final List<OrderIntent> completedIntents = new ArrayList<>();
     private final UnansweredServers unanswered = UnansweredServers.none();
@@ -37,13 +37,13 @@
      * @param state the servers
      * @param engines the client that sends orders to engines
      * @param clock the clocks of this process
-     * @param leaseHeld returns whether this host holds the lease
+     * @param termHeld returns whether this process may order engines in the term of a fencing token
      */
-    PendingOrders(GatewayState state, EngineAdmin engines, LocalClock clock, BooleanSupplier leaseHeld) {
+    PendingOrders(GatewayState state, EngineAdmin engines, LocalClock clock, LongPredicate termHeld) {
         this.state = state;
         this.engines = engines;
         this.clock = clock;
-        this.leaseHeld = leaseHeld;
+        this.termHeld = termHeld;
     }
 
     // -- queries
@@ -86,8 +86,8 @@
      */
     void issue(OrderIntent intent, IssueWindow issueWindow) {
         state.directory().find(intent.server()).ifPresent(server -> {
-            PendingOrder order = new PendingOrder(
-                    server, intent, issueWindow, engines, clock, state.serverLimits(), leaseHeld, this);
+            PendingOrder order =
+                    new PendingOrder(server, intent, issueWindow, engines, clock, state.serverLimits(), termHeld, this);
             orders.put(intent.server(), order);
             order.start();
         });
@@ -123,6 +123,7 @@
 
     /** Drops all orders and completed intents, because another host holds the lease. */
     void clear() {
+        orders.values().forEach(PendingOrder::drop);
         orders.clear();
         completedIntents.clear();
         unanswered.clear();
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -110,7 +110,7 @@
         this.known =
                 new KnownLease(host, Long.toHexString(random.nextLong()), clock, orderSpacing, ESTIMATED_LOADING_TIME);
         this.planner = new OrderPlanner(host, state, known, clock, times.maxStaleness());
-        this.pendingOrders = new PendingOrders(state, engines, clock, () -> !stopped && known.isOwn());
+        this.pendingOrders = new PendingOrders(state, engines, clock, token -> !stopped && known.isTerm(token));
     }
 
     // -- construction
@@ -167,14 +167,17 @@
 
     /**
      * Records the weights of a completed intent. Marks the server of a recent intent that is not completed as loading,
-     * so that requests avoid it.
+     * so that requests avoid it, unless this process has issued the intent and knows that its order has ended.
      */
     private void applyIntent(OrderIntent intent) {
         state.directory().find(intent.server()).ifPresent(server -> {
             long ageMillis = leaseStore.nowMillis() - intent.recordedMillis();
+            boolean ended = known.isTerm(intent.key().fencingToken())
+                    && !pendingOrders.servers().contains(intent.server());
             if (intent.done()) {
                 server.recordWeightsVersion(intent.model(), intent.version());
-            } else if (ageMillis < ESTIMATED_LOADING_TIME.toMillis()
+            } else if (!ended
+                    && ageMillis < ESTIMATED_LOADING_TIME.toMillis()
                     && server.weightsVersion(intent.model()).orElse(0) < intent.version()) {
                 server.markLoading(clock.nanos()
                         + ESTIMATED_LOADING_TIME
@@ -242,7 +245,7 @@
         }
         pendingOrders.poll();
         dropLostStoreCall(clock.nanos());
-        boolean mustHoldLease = planner.hasOutdatedServers() || known.isRowMissing();
+        boolean mustHoldLease = planner.hasOutdatedServers() || known.isRowToWrite();
         boolean hasCompletedIntents = !pendingOrders.completedIntents().isEmpty();
         if (!mustHoldLease) {
             takeoverPending = false;
@@ -326,7 +329,7 @@
     }
 
     private void backOff(Throwable cause, String event) {
-        lastWriteNanos = clock.nanos() + WRITE_BACKOFF.toNanos();
+        lastWriteNanos = storeCallNanos + WRITE_BACKOFF.toNanos();
         LogEvent.of(event).with("cause", cause).info();
     }
 
@@ -337,7 +340,7 @@
                 planner.planOrders(term, pendingOrders.servers(), pendingOrders.loadTime(), nowMillis);
         List<OrderIntent> completedIntents = pendingOrders.completedIntents();
         boolean renewalDue = known.isOwn() && known.age().compareTo(RENEWAL_INTERVAL) > 0;
-        if (completedIntents.isEmpty() && orders.isEmpty() && !renewalDue && !known.isRowMissing()) {
+        if (completedIntents.isEmpty() && orders.isEmpty() && !renewalDue && !known.isRowToWrite()) {
             return;
         }
         List<OrderIntent> intents = new ArrayList<>(completedIntents);
@@ -366,8 +369,8 @@
                 readRow();
             } else if (known.applyWritten(newLease, newRowVersion.getAsLong())) {
                 pendingOrders.dropCompleted(completedIntents);
-                leaseChanged();
                 issueOrders(orders, issueWindow);
+                leaseChanged();
             }
         });
     }
--- a/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/PooledHttpClient.java
@@ -68,7 +68,8 @@
             Map<String, String> headers,
             byte[] body,
             Duration timeout) {
-        return start(new Call(request(method, address, path, headers, body), memory, () -> true), address, timeout);
+        return start(
+                new Call(request(method, address, path, headers, body), memory, () -> true, false), address, timeout);
     }
 
     /**
@@ -94,7 +95,8 @@
             Map<String, String> headers,
             byte[] body,
             Duration timeout) {
-        return start(new Call(request(method, address, path, headers, body), memory, permission), address, timeout);
+        return start(
+                new Call(request(method, address, path, headers, body), memory, permission, true), address, timeout);
     }
 
     private static FullHttpRequest request(
@@ -142,13 +144,15 @@
         private final CompletableFuture<BufferedHttpResponse> response = new CompletableFuture<>();
         private final HeldBody body;
         private final BooleanSupplier permission;
+        private final boolean withdrawable;
         private ScheduledFuture<?> timer;
         private ServerConnection connection;
         private HttpResponse head;
 
-        Call(FullHttpRequest request, ResponseMemory memory, BooleanSupplier permission) {
+        Call(FullHttpRequest request, ResponseMemory memory, BooleanSupplier permission, boolean withdrawable) {
             this.request = request;
             this.permission = permission;
+            this.withdrawable = withdrawable;
             this.body = memory.newBody(() -> abort("the responses that are held are too large together"));
         }
 
@@ -163,6 +167,9 @@
                 return;
             }
             connection = opened;
+            if (withdrawable) {
+                opened.setResetOnClose(true);
+            }
             opened.send(request, this);
         }
 
@@ -176,7 +183,7 @@
 
         void timedOut() {
             if (connection != null) {
-                connection.reset();
+                connection.abort();
             }
             fail(new TimeoutException("no answer in time"));
         }
@@ -208,6 +215,9 @@
         @Override
         public void end() {
             timer.cancel(false);
+            if (withdrawable) {
+                connection.setResetOnClose(false);
+            }
             ByteBuf whole = body.take();
             byte[] bytes = ByteBufUtil.getBytes(whole);
             whole.release();
--- a/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
+++ b/transport/src/main/java/org/geraniumford/transport/forward/ServerConnection.java
@@ -155,12 +155,11 @@
         channel.close();
     }
 
-    /** Closes the connection like {@link #abort}, and discards what was sent and has not reached the server. */
-    void reset() {
+    /** Sets whether a close discards what has not reached the server, also if this process is killed. */
+    void setResetOnClose(boolean enabled) {
         if (channel.isOpen()) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.config().setOption(ChannelOption.SO_LINGER, enabled ? 0 : -1);
         }
-        abort();
     }
 
     /**
