--- a/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
@@ -22,8 +22,14 @@
  * @param intents the intents of recent orders
  * @param ordersLostVersion the version of a row, or of the store if the row was missing, whose intents could not be
  *     read; 0 if that is long ago or never was
+ * @param replacedVersion the version of the row that the write of this one replaced, 0 if there was none;
+ *     {@link #UNKNOWN_VERSION} if the row does not tell
  */
-public record WeightsLease(LeaseTerm term, boolean released, List<OrderIntent> intents, long ordersLostVersion) {
+public record WeightsLease(
+        LeaseTerm term, boolean released, List<OrderIntent> intents, long ordersLostVersion, long replacedVersion) {
+    /** The replaced version of a row that does not tell it. */
+    public static final long UNKNOWN_VERSION = Long.MAX_VALUE;
+
     private static final String SEPARATOR = " ";
     private static final String RELEASED = "0";
     private static final String HELD = "1";
@@ -42,7 +48,7 @@
      * @return a lease without a holder
      */
     public static WeightsLease empty() {
-        return new WeightsLease(LeaseTerm.none(), false, List.of(), 0);
+        return new WeightsLease(LeaseTerm.none(), false, List.of(), 0, UNKNOWN_VERSION);
     }
 
     /**
@@ -53,7 +59,7 @@
      * @return a lease with the version as its fencing token
      */
     public static WeightsLease ofUnreadableRow(long rowVersion) {
-        return new WeightsLease(LeaseTerm.ofUnknownHolder(rowVersion), false, List.of(), rowVersion);
+        return new WeightsLease(LeaseTerm.ofUnknownHolder(rowVersion), false, List.of(), rowVersion, UNKNOWN_VERSION);
     }
 
     /**
@@ -64,7 +70,8 @@
      * @return a lease that any process can take
      */
     public static WeightsLease ofMissingRow(long storeVersion) {
-        return new WeightsLease(LeaseTerm.ofUnknownHolder(storeVersion), true, List.of(), storeVersion);
+        return new WeightsLease(
+                LeaseTerm.ofUnknownHolder(storeVersion), true, List.of(), storeVersion, UNKNOWN_VERSION);
     }
 
     /**
@@ -87,17 +94,18 @@
     }
 
     private static WeightsLease decodeHead(String[] fields, List<OrderIntent> intents) {
-        if (fields.length < 3 || fields.length > 5) {
+        if (fields.length < 3 || fields.length > 6) {
             throw new IllegalArgumentException("lease has " + fields.length + " fields");
         }
-        // Earlier versions of this program wrote no process, and the last loss of intents only if there was one.
+        // Earlier versions of this program wrote neither process nor replaced version, and the last loss only if any.
         String process = fields.length < 5 ? "" : LineField.decode(fields[4]);
         long ordersLostVersion = fields.length < 4 ? 0 : Long.parseLong(fields[3]);
         return new WeightsLease(
                 new LeaseTerm(Long.parseLong(fields[0]), LineField.decode(fields[1]), process),
                 Long.parseLong(fields[2]) == 0,
                 intents,
-                ordersLostVersion);
+                ordersLostVersion,
+                fields.length < 6 ? UNKNOWN_VERSION : Long.parseLong(fields[5]));
     }
 
     private static OrderIntent decodeIntent(String[] fields) {
@@ -133,7 +141,8 @@
                 LineField.encode(term.holder()),
                 released ? RELEASED : HELD,
                 String.valueOf(ordersLostVersion),
-                LineField.encode(term.process()));
+                LineField.encode(term.process()),
+                String.valueOf(replacedVersion));
         return intents.stream().map(WeightsLease::encodeIntent).collect(Collectors.joining("", head, ""));
     }
 
@@ -151,6 +160,17 @@
                         String.valueOf(intent.key().rowVersion()));
     }
 
+    /**
+     * Returns whether this value was written before a version of the row and put back after it. A write replaces the
+     * newest version, so no value in the row can have replaced an older one than the last that was seen.
+     *
+     * @param seenRowVersion a version that the row has had; 0 if it has had none
+     * @return false if that cannot be told
+     */
+    public boolean isOlderThan(long seenRowVersion) {
+        return replacedVersion < seenRowVersion;
+    }
+
     // -- transitions
 
     /**
@@ -161,25 +181,31 @@
      *     the same order, or of the same holder for the same server and model
      * @param needed whether successors still need the intents of an order
      * @param lossNeeded whether successors still need to know that intents were lost
+     * @param rowVersion the version of the row that is replaced; 0 if there is none
      * @return the next value of the row
      */
     public WeightsLease renewedBy(
-            LeaseTerm newTerm, List<OrderIntent> newIntents, Predicate<OrderKey> needed, boolean lossNeeded) {
+            LeaseTerm newTerm,
+            List<OrderIntent> newIntents,
+            Predicate<OrderKey> needed,
+            boolean lossNeeded,
+            long rowVersion) {
         List<OrderIntent> recent = new ArrayList<>(intents.stream()
                 .filter(intent -> needed.test(intent.key()))
                 .filter(intent -> newIntents.stream().noneMatch(newIntent -> sameOrder(newIntent, intent)))
                 .toList());
         recent.addAll(newIntents);
-        return new WeightsLease(newTerm, false, recent, lossNeeded ? ordersLostVersion : 0);
+        return new WeightsLease(newTerm, false, recent, lossNeeded ? ordersLostVersion : 0, rowVersion);
     }
 
     /**
      * Returns the lease as its holder releases it, so that any other process can take it.
      *
+     * @param rowVersion the version of the row that is replaced
      * @return a released lease
      */
-    public WeightsLease asReleased() {
-        return new WeightsLease(term, true, intents, ordersLostVersion);
+    public WeightsLease asReleased(long rowVersion) {
+        return new WeightsLease(term, true, intents, ordersLostVersion, rowVersion);
     }
 
     private static boolean sameOrder(OrderIntent order, OrderIntent intent) {
--- a/core/src/test/java/org/geraniumford/core/weights/OrderSightingsTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/OrderSightingsTest.java
@@ -25,7 +25,7 @@
         List<OrderIntent> intents = Arrays.stream(orders)
                 .map(order -> new OrderIntent(order, "model", 2, "host-a", 0, false))
                 .toList();
-        return new WeightsLease(new LeaseTerm(1, "host-a", "p1"), false, intents, 0);
+        return new WeightsLease(new LeaseTerm(1, "host-a", "p1"), false, intents, 0, 0);
     }
 
     @Test
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
@@ -18,11 +18,11 @@
 
     @Test
     void shouldReturnEqualLeaseWhenEncodedAndDecoded() {
-        WeightsLease lease = new WeightsLease(TERM_A, false, List.of(intent("s1", "host-a", 16)), 0);
+        WeightsLease lease = new WeightsLease(TERM_A, false, List.of(intent("s1", "host-a", 16)), 0, 4);
         assertThat(WeightsLease.decode(lease.encode())).contains(lease);
-        assertThat(WeightsLease.decode(lease.asReleased().encode())).contains(lease.asReleased());
+        assertThat(WeightsLease.decode(lease.asReleased(5).encode())).contains(lease.asReleased(5));
         assertThat(WeightsLease.decode(WeightsLease.empty()
-                        .renewedBy(TERM_A, List.of(), key -> true, true)
+                        .renewedBy(TERM_A, List.of(), key -> true, true, 0)
                         .encode()))
                 .isPresent();
     }
@@ -61,12 +61,12 @@
     @Test
     void shouldKeepIntentsThatSuccessorsNeed() {
         OrderIntent first = intent("s1", "host-a", 1);
-        WeightsLease lease = WeightsLease.empty().renewedBy(TERM_A, List.of(first), key -> true, false);
+        WeightsLease lease = WeightsLease.empty().renewedBy(TERM_A, List.of(first), key -> true, false, 0);
         LeaseTerm termB = TERM_A.next("host-b", "p1", 0);
-        assertThat(lease.renewedBy(termB, List.of(intent("s2", "host-b", 2)), key -> true, false)
+        assertThat(lease.renewedBy(termB, List.of(intent("s2", "host-b", 2)), key -> true, false, 0)
                         .intents())
                 .containsExactly(first, intent("s2", "host-b", 2));
-        assertThat(lease.renewedBy(termB, List.of(), key -> false, false).intents())
+        assertThat(lease.renewedBy(termB, List.of(), key -> false, false, 0).intents())
                 .isEmpty();
     }
 
@@ -79,7 +79,7 @@
         OrderIntent first = new OrderIntent(new OrderKey(server, 9, lost), model, 3, holder, 5, true);
         OrderIntent second = new OrderIntent(new OrderKey(model, 8, 7), holder, 4, server, 6, false);
         WeightsLease lease =
-                new WeightsLease(new LeaseTerm(9, holder, server), lost % 2 == 0, List.of(first, second), lost);
+                new WeightsLease(new LeaseTerm(9, holder, server), lost % 2 == 0, List.of(first, second), lost, lost);
         String stored = new String(lease.encode().getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8);
         assertThat(WeightsLease.decode(stored)).contains(lease);
     }
@@ -89,9 +89,10 @@
         OrderIntent intent = new OrderIntent(new OrderKey("server-1", 0, 99), "50%", 3, "front-a-1", 99, false);
         LeaseTerm term = new LeaseTerm(7, "front-a-1", "");
         assertThat(WeightsLease.decode("7 front-a-1 12\nserver-1 50% 3 front-a-1 99 false"))
-                .contains(new WeightsLease(term, false, List.of(intent), 0));
-        assertThat(WeightsLease.decode("7 front-a-1 0 55")).contains(new WeightsLease(term, true, List.of(), 55));
-        assertThat(WeightsLease.decode("0  0")).contains(WeightsLease.empty().asReleased());
+                .contains(new WeightsLease(term, false, List.of(intent), 0, WeightsLease.UNKNOWN_VERSION));
+        assertThat(WeightsLease.decode("7 front-a-1 0 55"))
+                .contains(new WeightsLease(term, true, List.of(), 55, WeightsLease.UNKNOWN_VERSION));
+        assertThat(WeightsLease.decode("0  0")).contains(WeightsLease.empty().asReleased(WeightsLease.UNKNOWN_VERSION));
         assertThat(WeightsLease.decode("7 front-a-1 12\ns Walia LLM 3 front-a-1 99 false"))
                 .isEmpty();
     }
@@ -102,10 +103,21 @@
         assertThat(lease.term().isOfUnknownHolder()).isTrue();
         LeaseTerm term = lease.term().next("host-b", "p1", 40);
         assertThat(term.fencingToken()).isEqualTo(41);
-        WeightsLease taken = lease.renewedBy(term, List.of(), key -> true, true);
+        WeightsLease taken = lease.renewedBy(term, List.of(), key -> true, true, 0);
         assertThat(taken.ordersLostVersion()).isEqualTo(40);
         assertThat(WeightsLease.decode(taken.encode())).contains(taken);
-        assertThat(taken.renewedBy(term, List.of(), key -> true, false).ordersLostVersion())
+        assertThat(taken.renewedBy(term, List.of(), key -> true, false, 0).ordersLostVersion())
                 .isZero();
     }
+
+    /** Guards against a value that somebody has put back, and that names neither the newest orders nor the holder. */
+    @Test
+    void shouldTellAValueThatWasPutBackByTheVersionThatItReplaced() {
+        WeightsLease third = new WeightsLease(TERM_A, false, List.of(), 0, 20);
+        assertThat(third.isOlderThan(10)).isFalse();
+        assertThat(third.isOlderThan(20)).isFalse();
+        assertThat(third.isOlderThan(30)).isTrue();
+        assertThat(WeightsLease.decode("7 front-a-1 12").map(lease -> lease.isOlderThan(30)))
+                .contains(false);
+    }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -143,7 +143,8 @@
                 term,
                 newIntents,
                 order -> sightings.isNeeded(order, extraRetention, nowNanos),
-                sightings.isLossNeeded(nowNanos));
+                sightings.isLossNeeded(nowNanos),
+                rowVersion);
     }
 
     /** Returns the orders of other terms that hold back orders of a term, for the log. */
@@ -220,7 +221,8 @@
     }
 
     private void adopt(WeightsLease newLease, long newRowVersion, long newKnownVersion) {
-        boolean putBack = newLease.term().fencingToken() < lease.term().fencingToken();
+        boolean putBack = newLease.isOlderThan(rowVersion)
+                || newLease.term().fencingToken() < lease.term().fencingToken();
         if (putBack) {
             LogEvent.of("lease_put_back")
                     .with("row", newRowVersion)
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -219,7 +219,7 @@
 
     /** Writes the lease as released, so that any other entry can take it. */
     private void release() {
-        WeightsLease released = known.lease().asReleased();
+        WeightsLease released = known.lease().asReleased(known.rowVersion());
         markStoreCall();
         lastWriteNanos = storeCallNanos;
         releasedNanos = storeCallNanos;
