--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/DispatchPlanner.java
@@ -22,7 +22,6 @@
 import org.geraniumford.core.service.CacheStore;
 import org.geraniumford.core.service.EngineSpec;
 import org.geraniumford.core.service.RouteKind;
-import org.geraniumford.core.service.ServiceDefinition;
 import org.geraniumford.core.service.SharingGroup;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
@@ -216,9 +215,8 @@
 
     private boolean supportsBackups() {
         return gateway.state()
-                .routingTable()
-                .flatMap(table -> table.service(admitted.service()))
-                .flatMap(ServiceDefinition::engine)
+                .configuration()
+                .engineSpec(admitted.service())
                 .filter(EngineSpec::supportsKvBackup)
                 .isPresent();
     }
@@ -258,7 +256,8 @@
      * Called once for each choice of a server and for each dispatch.
      */
     private void followSharingGroup() {
-        Optional<SharingGroup> current = gateway.state().routingTable().map(admitted::sharingGroup);
+        Optional<SharingGroup> current =
+                gateway.state().configuration().routingTable().map(admitted::sharingGroup);
         if (!current.equals(sharingGroup)) {
             sharingGroup = current;
             scopedPromptsByWeights.clear();
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -30,6 +30,7 @@
 import org.geraniumford.transport.link.LinkHandler;
 import org.geraniumford.transport.link.LinkIdentity;
 import org.geraniumford.transport.link.LinkListener;
+import org.geraniumford.transport.link.LinkMemory;
 import org.geraniumford.transport.link.LinkNetwork;
 import org.geraniumford.transport.log.LogEvent;
 import org.geraniumford.transport.worker.Guarded;
@@ -174,6 +175,15 @@
         return linkCount;
     }
 
+    /**
+     * Returns the account of the bytes that the links to peers hold.
+     *
+     * @return the account, which changes over time
+     */
+    public LinkMemory linkMemory() {
+        return network.memory();
+    }
+
     // -- commands
 
     /**
@@ -304,7 +314,7 @@
                         state.streams().gossip(complete),
                         state.serverSpeeds().gossip(complete, announcedNanos)),
                 new OperatorGossip(
-                        state.configurationFreshness().gossip(configurations.version()), state.weightsGossip()),
+                        state.configuration().freshness().gossip(configurations.version()), state.weightsGossip()),
                 lease,
                 new CacheGossip(
                         state.cacheStores().savedSegments().unannounced(),
@@ -370,7 +380,7 @@
         } else if (message instanceof Message.ConfigurationResponse response) {
             configurations.responded(peer, response);
         }
-        state.configurationFreshness().recordAnnounced(envelope.configurationVersion());
+        state.configuration().freshness().recordAnnounced(envelope.configurationVersion());
         configurations.versionHeard(link, envelope.configurationVersion());
     }
 
