--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -147,14 +147,25 @@
                 rowVersion);
     }
 
-    /** Returns the orders of other terms that hold back orders of a term, for the log. */
-    String heldBackServers(LeaseTerm term) {
+    /** Returns the orders of other terms that hold back orders of a term. */
+    private String heldBackServers(LeaseTerm term) {
         return lease.intents().stream()
                 .filter(intent -> !allowsOrder(intent.server(), term))
                 .map(intent -> intent.server() + ':' + intent.key().fencingToken())
                 .collect(Collectors.joining(","));
     }
 
+    /** Logs that this process is about to take over the lease. */
+    void logTakeover(LeaseTerm term) {
+        LogEvent.of("lease_takeover")
+                .with("fence", term.fencingToken())
+                .with("row", rowVersion)
+                .with("from", lease.term().holder())
+                .with("unchanged_ms", age().toMillis())
+                .with("held_back", heldBackServers(term))
+                .info();
+    }
+
     // -- commands
 
     /**
@@ -181,16 +192,15 @@
      */
     boolean applyRead(LeaseRow row, long readNanos) {
         long version = row.snapshot().version();
-        boolean unchanged = known && version == rowVersion;
+        // A row that is missing again may have been written and removed meanwhile.
+        boolean unchanged = known && version > 0 && version == rowVersion;
         boolean outdated = known && version < knownVersion && readNanos - learnedNanos < 0;
-        if (unchanged) {
-            knownVersion = Math.max(knownVersion, row.storeVersion());
-        }
         if (unchanged || outdated) {
             return false;
         }
         if (row.snapshot().isEmpty()) {
-            adopt(WeightsLease.ofMissingRow(row.storeVersion()), 0, row.storeVersion());
+            long highestToken = Math.max(row.storeVersion(), lease.term().fencingToken());
+            adopt(WeightsLease.ofMissingRow(highestToken), 0, row.storeVersion());
         } else {
             adopt(decode(row.snapshot()), version, version);
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -44,12 +44,6 @@
     /** Covers the drift between the clocks of two hosts during the spacing of orders. */
     private static final Duration SPACING_MARGIN = Duration.ofMillis(200);
 
-    /**
-     * After how many writes in succession that were answered too late for their orders a holder lets others take over.
-     * It would go on renewing the lease without ever sending an order.
-     */
-    private static final int MAX_LATE_WRITES = 2;
-
     /** How much longer than the spacing of orders a holder that has released the lease leaves it to others. */
     private static final Duration TAKEOVER_TIME = Duration.ofSeconds(2);
 
@@ -73,9 +67,11 @@
     /** How long a holder that has released the lease leaves it to others, which wait for the end of the spacing. */
     private final Duration releaseTime;
 
-    private int lateWrites;
+    private final WriteOutcomes writes = WriteOutcomes.none();
+
+    /** Whether this process leaves the lease to others, and since when, from {@link LocalClock#nanos}. */
+    private boolean leftToOthers;
 
-    /** When this holder last released the lease, from {@link LocalClock#nanos}. */
     private long releasedNanos;
 
     private boolean stopped;
@@ -222,6 +218,7 @@
         WeightsLease released = known.lease().asReleased(known.rowVersion());
         markStoreCall();
         lastWriteNanos = storeCallNanos;
+        leftToOthers = true;
         releasedNanos = storeCallNanos;
         leaseStore.write(known.rowVersion(), released).whenComplete((newRowVersion, failure) -> {
             storeCallPending = false;
@@ -229,11 +226,12 @@
                 known.applyWritten(released, newRowVersion.getAsLong());
             }
             LogEvent.of("lease_released")
-                    .with("late_writes", lateWrites)
+                    .with("late_writes", writes.late())
+                    .with("failed_writes", writes.failed())
                     .with("reaches_no_server", pendingOrders.reachesNoServer())
                     .with("outcome", failure == null ? newRowVersion : failure)
                     .info();
-            lateWrites = 0;
+            writes.clear();
             pendingOrders.clear();
         });
     }
@@ -276,8 +274,8 @@
 
     /** Renews the lease and orders engines, unless others should do so for a while. */
     private void hold() {
-        boolean leftToOthers = known.lease().released() && clock.nanos() - releasedNanos < releaseTime.toNanos();
-        if (lateWrites >= MAX_LATE_WRITES || pendingOrders.reachesNoServer()) {
+        leftToOthers = leftToOthers && clock.nanos() - releasedNanos < releaseTime.toNanos();
+        if (writes.comeToNothing() || pendingOrders.reachesNoServer()) {
             release();
         } else if (!leftToOthers) {
             writeIntents();
@@ -352,7 +350,7 @@
     /** Writes the row and then issues the orders, whose window counts from the beginning of the write. */
     private void write(WeightsLease newLease, List<OrderIntent> orders, int completedIntents) {
         if (!known.isOwn()) {
-            logTakeover(newLease.term());
+            known.logTakeover(newLease.term());
         }
         IssueWindow issueWindow = IssueWindow.starting(clock, PendingOrder.ISSUE_WINDOW);
         markStoreCall();
@@ -360,6 +358,7 @@
         leaseStore.write(known.rowVersion(), newLease).whenComplete((newRowVersion, failure) -> {
             storeCallPending = false;
             if (failure != null) {
+                writes.recordFailure();
                 backOff(failure, "lease_unknown");
             } else if (newRowVersion.isEmpty()) {
                 LogEvent.of("lease_lost")
@@ -375,24 +374,12 @@
         });
     }
 
-    private void logTakeover(LeaseTerm term) {
-        LogEvent.of("lease_takeover")
-                .with("fence", term.fencingToken())
-                .with("row", known.rowVersion())
-                .with("from", known.lease().term().holder())
-                .with("unchanged_ms", known.age().toMillis())
-                .with("held_back", known.heldBackServers(term))
-                .info();
-    }
-
     private void issueOrders(List<OrderIntent> orders, IssueWindow issueWindow) {
         LogEvent.of("lease_written")
                 .with("fence", known.lease().term().fencingToken())
                 .with("orders", orders.size())
                 .info();
-        if (!orders.isEmpty()) {
-            lateWrites = issueWindow.isOpen(clock) ? 0 : lateWrites + 1;
-        }
+        writes.recordResponse(orders.isEmpty() || issueWindow.isOpen(clock));
         orders.forEach(order -> pendingOrders.issue(order, issueWindow));
     }
 }
