--- a/core/src/main/java/org/geraniumford/core/weights/OrderKey.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderKey.java
@@ -8,7 +8,8 @@
  *
  * @param server the id of the backend server that receives the order
  * @param fencingToken the fencing token of the term in which the order is issued
- * @param rowVersion the version of the lease row that the write of the intent replaced
+ * @param rowVersion the version of the lease row that the write of the intent replaced; that of the store as last read
+ *     if there was no row
  */
 public record OrderKey(String server, long fencingToken, long rowVersion) {
     /** Checks the components. */
--- a/core/src/main/java/org/geraniumford/core/weights/OrderSightings.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderSightings.java
@@ -54,7 +54,7 @@
      */
     public boolean allowsOrder(String server, long fencingToken, long nowNanos) {
         return following
-                && !isLossNeeded(nowNanos)
+                && !isLossRecent(nowNanos)
                 && seenNanos.entrySet().stream()
                         .filter(sighting -> sighting.getKey().server().equals(server))
                         .filter(sighting -> sighting.getKey().fencingToken() != fencingToken)
@@ -75,12 +75,12 @@
     }
 
     /**
-     * Returns whether successors of this process need to know that intents were lost.
+     * Returns whether intents were lost so recently that any order may still be on its way.
      *
      * @param nowNanos the time of the local monotonic clock
      * @return true if that was found within the spacing
      */
-    public boolean isLossNeeded(long nowNanos) {
+    public boolean isLossRecent(long nowNanos) {
         return ordersLostVersion > 0 && !isOver(ordersLostNanos, nowNanos);
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -80,7 +80,7 @@
 
     private boolean isContentOver() {
         long nowNanos = clock.nanos();
-        boolean lossOver = lease.ordersLostVersion() > 0 && !sightings.isLossNeeded(nowNanos);
+        boolean lossOver = lease.ordersLostVersion() > 0 && !sightings.isLossRecent(nowNanos);
         boolean intentsOver = !lease.intents().isEmpty()
                 && lease.intents().stream()
                         .noneMatch(intent -> sightings.isNeeded(intent.key(), extraRetention, nowNanos));
@@ -143,7 +143,7 @@
                 term,
                 newIntents,
                 order -> sightings.isNeeded(order, extraRetention, nowNanos),
-                sightings.isLossNeeded(nowNanos),
+                sightings.isLossRecent(nowNanos),
                 rowVersion);
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -12,7 +12,7 @@
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.daemon.gateway.GatewayState;
 
-/** The orders of this host that have not ended, and the completed intents that are not in the lease's row yet. */
+/** The orders of this process that have not ended, and the completed intents that are not in the lease's row yet. */
 final class PendingOrders implements OrderListener {
     /** The time that a server is assumed to take to drain and load until one has done so. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
@@ -121,7 +121,7 @@
         completedIntents.subList(0, Math.min(count, completedIntents.size())).clear();
     }
 
-    /** Drops all orders and completed intents, because another host holds the lease. */
+    /** Drops all orders and completed intents, because this process no longer holds the lease. */
     void clear() {
         orders.values().forEach(PendingOrder::drop);
         orders.clear();
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -56,7 +56,7 @@
     private final PendingOrders pendingOrders;
     private final RandomGenerator random;
 
-    /** Whether the row was read after this host last decided to take over the lease. */
+    /** Whether the row was read after this process last decided to take over the lease. */
     private boolean rowRead;
 
     private boolean storeCallPending;
@@ -75,10 +75,12 @@
     private long releasedNanos;
 
     private boolean stopped;
-    /** When this host may take over the lease, from {@link LocalClock#nanos}, if a takeover is pending. */
+
+    /** When this process may take over the lease, from {@link LocalClock#nanos}, if a takeover is pending. */
     private long takeoverNanos;
 
     private boolean takeoverPending;
+
     /**
      * When the last write of the row began, from {@link LocalClock#nanos}. After a failed read or write, a time later
      * by {@link #WRITE_BACKOFF}, which delays the next read or write.
