--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Attempt.java
@@ -114,8 +114,7 @@
         }
         connection = newConnection;
         sentNanos = System.nanoTime();
-        Dispatch sent = dispatch.withTimeLeft(weights.recordSend(timeLeft, sentNanos));
-        newConnection.send(request.gateway().encode(request.exchange(), sent), this);
+        newConnection.send(request.gateway().encode(request.exchange(), dispatch.withTimeLeft(timeLeft)), this);
     }
 
     /** Ends this attempt at a silent server, and suspends the server for other requests for a while. */
@@ -126,14 +125,12 @@
         failed("silent");
     }
 
-    /** Ends this attempt if the engine may not begin the request any more, or not go on with it. */
+    /** Ends this attempt if the request has not begun and may no longer begin on the engine's weights. */
     void withdrawIfOutdated() {
-        if (isSent() && !ended) {
-            weights.withdrawal(prefilling, System.nanoTime()).ifPresent(reason -> {
-                connection.abort();
-                detail = reason;
-                endWithFailure(new AttemptFailure.Withdrawn(), Reason.WRONG_WEIGHTS);
-            });
+        if (isSent() && !ended && prefilling && !weights.mayBegin()) {
+            connection.abort();
+            detail = "not begun before the weights became too old";
+            endWithFailure(new AttemptFailure.Withdrawn(), Reason.WRONG_WEIGHTS);
         }
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Dispatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Dispatch.java
@@ -10,7 +10,7 @@
  * Describes how a request is sent to a backend server.
  *
  * @param server the server; a different server at the same address must not run the request
- * @param timeLeft for how long the server may work on the request, at most as long as the caller waits
+ * @param timeLeft how much longer the caller waits
  * @param customer the name of the customer; empty if the request has no valid API key and needs none
  * @param priority the priority; 0 is served first
  * @param engine the instructions for a model engine; empty for a plain service
@@ -37,7 +37,7 @@
     /**
      * Returns a copy of this dispatch with another remaining time.
      *
-     * @param timeLeft for how long the server may work on the request
+     * @param timeLeft how much longer the caller waits
      * @return a new dispatch
      */
     public Dispatch withTimeLeft(Duration timeLeft) {
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/Gateway.java
@@ -316,11 +316,6 @@
         return state.oldestAllowedWeights(model, limits.beginWeightsStaleness());
     }
 
-    /** Returns for how long an engine may work on a request that is sent to a version of a model's weights now. */
-    Duration weightsWorkTime(String model, int version) {
-        return state.weightsTimeLeft(model, version, limits.workWeightsStaleness());
-    }
-
     Duration weightsTimeLeft(String model, int version) {
         return state.weightsTimeLeft(model, version, limits.maxWeightsStaleness());
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/GatewayLimits.java
@@ -32,11 +32,6 @@
      */
     private static final Duration WITHDRAWAL_MARGIN = Duration.ofSeconds(1);
 
-    /**
-     * Covers the time until the engine has read a request, from when its time counts there, and the error of the age.
-     */
-    private static final Duration WORK_MARGIN = Duration.ofMillis(500);
-
     /** Checks the components. */
     public GatewayLimits {
         requireNonNull(retryWindow, "retryWindow is null");
@@ -65,14 +60,4 @@
     public Duration beginWeightsStaleness() {
         return maxWeightsStaleness.minus(WITHDRAWAL_MARGIN);
     }
-
-    /**
-     * Returns how long after the publication of newer weights a server with older ones may work on a request that is
-     * sent to it after the publication.
-     *
-     * @return the allowed staleness less 500 ms
-     */
-    public Duration workWeightsStaleness() {
-        return maxWeightsStaleness.minus(WORK_MARGIN);
-    }
 }
