--- a/core/src/main/java/org/geraniumford/core/weights/OrderIntent.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderIntent.java
@@ -11,14 +11,16 @@
  * @param holder the host that issues the order
  * @param recordedMillis when the intent was recorded or last renewed, in milliseconds on the store's clock as the
  *     holder read it; an estimate that may be seconds behind, so nothing that must hold may rest on it
- * @param done whether the server was observed to have loaded the version
+ * @param progress how far the order has got
  */
-public record OrderIntent(OrderKey key, String model, int version, String holder, long recordedMillis, boolean done) {
+public record OrderIntent(
+        OrderKey key, String model, int version, String holder, long recordedMillis, OrderProgress progress) {
     /** Checks the components. */
     public OrderIntent {
         requireNonNull(key, "key is null");
         requireNonNull(model, "model is null");
         requireNonNull(holder, "holder is null");
+        requireNonNull(progress, "progress is null");
     }
 
     // -- queries
@@ -41,15 +43,16 @@
      * @return the renewed intent, of the same order
      */
     public OrderIntent renewedAt(long nowMillis) {
-        return new OrderIntent(key, model, version, holder, nowMillis, done);
+        return new OrderIntent(key, model, version, holder, nowMillis, progress);
     }
 
     /**
-     * Returns a copy of this intent that is marked as done.
+     * Returns a copy of this intent whose order has got further.
      *
-     * @return the completed intent
+     * @param newProgress how far the order has got
+     * @return the updated intent, of the same order
      */
-    public OrderIntent asDone() {
-        return new OrderIntent(key, model, version, holder, recordedMillis, true);
+    public OrderIntent with(OrderProgress newProgress) {
+        return new OrderIntent(key, model, version, holder, recordedMillis, newProgress);
     }
 }
--- a/core/src/main/java/org/geraniumford/core/weights/OrderKey.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderKey.java
@@ -16,4 +16,16 @@
     public OrderKey {
         requireNonNull(server, "server is null");
     }
+
+    // -- queries
+
+    /**
+     * Returns whether a server that has read this order has read another one as well, or never will.
+     *
+     * @param other the other order
+     * @return true if the other one is of the same term and server, and not recorded later
+     */
+    public boolean isSameOrLaterThan(OrderKey other) {
+        return server.equals(other.server) && fencingToken == other.fencingToken && rowVersion >= other.rowVersion;
+    }
 }
--- a/core/src/main/java/org/geraniumford/core/weights/OrderSightings.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderSightings.java
@@ -4,19 +4,29 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * When this process first saw each order of the weights lease, on its own monotonic clock. An order is issued within a
  * bounded time after the write of its intent began, and nobody sees an intent before its write has ended, so the order
  * has arrived or never will once that bound has passed since it was first seen. No reading of another clock is
- * involved. Not thread-safe.
+ * involved.
+ *
+ * <p>A server that stands still reads what has arrived when it goes on. It has read an order once it has answered it,
+ * or a request that was sent after the order's arrival. The time until another term may order it counts from then. Not
+ * thread-safe.
  */
 public final class OrderSightings {
-    private final Duration spacing;
-    private final Map<OrderKey, Long> seenNanos = new HashMap<>();
+    /** How long an order that its server may not have read is remembered; a server that is still then has ended. */
+    private static final Duration LONGEST_STANDSTILL = Duration.ofMinutes(1);
+
+    private final OrderSpacing spacing;
+    private final Map<OrderKey, Sighting> sightings = new HashMap<>();
 
     /** Whether the lease was seen at all. */
     private boolean following;
@@ -26,19 +36,48 @@
 
     private long ordersLostNanos;
 
-    private OrderSightings(Duration spacing) {
+    private OrderSightings(OrderSpacing spacing) {
         this.spacing = spacing;
     }
 
+    /**
+     * An order that was seen.
+     *
+     * @param seenNanos when it was first seen
+     * @param readNanos when it was first known that its server has read it or never will; empty if it is not known
+     */
+    private record Sighting(long seenNanos, OptionalLong readNanos) {
+        static Sighting at(long seenNanos) {
+            return new Sighting(seenNanos, OptionalLong.empty());
+        }
+
+        Sighting readBy(long nanos) {
+            return readNanos.isPresent() ? this : new Sighting(seenNanos, OptionalLong.of(nanos));
+        }
+
+        boolean hasArrived(OrderSpacing spacing, long nowNanos) {
+            return nowNanos - seenNanos >= spacing.arrival().toNanos();
+        }
+
+        boolean isOver(OrderSpacing spacing, long nowNanos) {
+            return readNanos.isPresent()
+                    && nowNanos - readNanos.getAsLong() > spacing.handover().toNanos();
+        }
+
+        boolean isNeeded(Duration kept, long nowNanos) {
+            return nowNanos - seenNanos < (readNanos.isPresent() ? kept : LONGEST_STANDSTILL).toNanos();
+        }
+    }
+
     // -- construction
 
     /**
      * Creates the sightings of a process that has not seen the lease.
      *
-     * @param spacing the time after which an order that was seen concerns no other holder any more
+     * @param spacing what keeps the orders of two terms apart
      * @return no sightings
      */
-    public static OrderSightings of(Duration spacing) {
+    public static OrderSightings of(OrderSpacing spacing) {
         return new OrderSightings(requireNonNull(spacing, "spacing is null"));
     }
 
@@ -50,15 +89,47 @@
      * @param server the id of the server
      * @param fencingToken the token of the term that would order it
      * @param nowNanos the time of the local monotonic clock
-     * @return true if no order of another term was first seen within the spacing, and none can have been missed
+     * @return true if the server has read all orders of other terms, or never will, longer than the handover time ago,
+     *     and none can have been missed
      */
     public boolean allowsOrder(String server, long fencingToken, long nowNanos) {
         return following
                 && !isLossRecent(nowNanos)
-                && seenNanos.entrySet().stream()
-                        .filter(sighting -> sighting.getKey().server().equals(server))
-                        .filter(sighting -> sighting.getKey().fencingToken() != fencingToken)
-                        .allMatch(sighting -> isOver(sighting.getValue(), nowNanos));
+                && sightingsOfOthers(server, fencingToken).allMatch(sighting -> sighting.isOver(spacing, nowNanos));
+    }
+
+    /**
+     * Returns whether a server should be asked for an answer.
+     *
+     * @param server the id of the server
+     * @param nowNanos the time of the local monotonic clock
+     * @return true if it is not known to have read all orders, and each of the others has arrived by now or never will
+     */
+    public boolean isAnswerMissing(String server, long nowNanos) {
+        List<Sighting> unread = sightings.entrySet().stream()
+                .filter(sighting -> sighting.getKey().server().equals(server))
+                .map(Map.Entry::getValue)
+                .filter(sighting -> sighting.readNanos().isEmpty())
+                .toList();
+        return !unread.isEmpty() && unread.stream().allMatch(sighting -> sighting.hasArrived(spacing, nowNanos));
+    }
+
+    /**
+     * Returns whether a server has read an order, or never will.
+     *
+     * @param order the order
+     * @return false if that is not known
+     */
+    public boolean isRead(OrderKey order) {
+        Sighting sighting = sightings.get(order);
+        return sighting != null && sighting.readNanos().isPresent();
+    }
+
+    private Stream<Sighting> sightingsOfOthers(String server, long fencingToken) {
+        return sightings.entrySet().stream()
+                .filter(sighting -> sighting.getKey().server().equals(server))
+                .filter(sighting -> sighting.getKey().fencingToken() != fencingToken)
+                .map(Map.Entry::getValue);
     }
 
     /**
@@ -67,11 +138,12 @@
      * @param order the order
      * @param extra how much longer than the spacing it is kept
      * @param nowNanos the time of the local monotonic clock
-     * @return true if it was first seen within the spacing and the extra time, or not at all
+     * @return true if it was first seen within the spacing and the extra time, or not at all, or if its server may not
+     *     have read it
      */
     public boolean isNeeded(OrderKey order, Duration extra, long nowNanos) {
-        Long seen = seenNanos.get(order);
-        return seen == null || nowNanos - seen < spacing.plus(extra).toNanos();
+        Sighting sighting = sightings.get(order);
+        return sighting == null || sighting.isNeeded(spacing.total().plus(extra), nowNanos);
     }
 
     /**
@@ -81,11 +153,8 @@
      * @return true if that was found within the spacing
      */
     public boolean isLossRecent(long nowNanos) {
-        return ordersLostVersion > 0 && !isOver(ordersLostNanos, nowNanos);
-    }
-
-    private boolean isOver(long sinceNanos, long nowNanos) {
-        return nowNanos - sinceNanos > spacing.toNanos();
+        return ordersLostVersion > 0
+                && nowNanos - ordersLostNanos <= spacing.total().toNanos();
     }
 
     // -- commands
@@ -102,10 +171,33 @@
             ordersLostVersion = lease.ordersLostVersion();
             ordersLostNanos = nowNanos;
         }
+        lease.intents().forEach(intent -> observe(intent, nowNanos));
         Set<OrderKey> listed = lease.intents().stream().map(OrderIntent::key).collect(Collectors.toSet());
-        listed.forEach(order -> seenNanos.putIfAbsent(order, nowNanos));
-        seenNanos
+        sightings
                 .entrySet()
-                .removeIf(sighting -> isOver(sighting.getValue(), nowNanos) && !listed.contains(sighting.getKey()));
+                .removeIf(sighting ->
+                        !isNeeded(sighting.getKey(), Duration.ZERO, nowNanos) && !listed.contains(sighting.getKey()));
+    }
+
+    private void observe(OrderIntent intent, long nowNanos) {
+        sightings.putIfAbsent(intent.key(), Sighting.at(nowNanos));
+        if (intent.progress().isRead()) {
+            sightings.replaceAll(
+                    (order, sighting) -> intent.key().isSameOrLaterThan(order) ? sighting.readBy(nowNanos) : sighting);
+        }
+    }
+
+    /**
+     * Records that a server has answered a request.
+     *
+     * @param server the id of the server
+     * @param sentNanos when the request was sent, of the local monotonic clock
+     * @param answeredNanos when the answer arrived
+     */
+    public void recordAnswer(String server, long sentNanos, long answeredNanos) {
+        sightings.replaceAll(
+                (order, sighting) -> order.server().equals(server) && sighting.hasArrived(spacing, sentNanos)
+                        ? sighting.readBy(answeredNanos)
+                        : sighting);
     }
 }
--- a/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
@@ -123,7 +123,7 @@
                 Integer.parseInt(fields[2]),
                 LineField.decode(fields[3]),
                 recordedMillis,
-                Boolean.parseBoolean(fields[5]));
+                OrderProgress.decode(fields[5]));
     }
 
     // -- queries
@@ -155,7 +155,7 @@
                         String.valueOf(intent.version()),
                         LineField.encode(intent.holder()),
                         String.valueOf(intent.recordedMillis()),
-                        String.valueOf(intent.done()),
+                        intent.progress().encode(),
                         String.valueOf(intent.key().fencingToken()),
                         String.valueOf(intent.key().rowVersion()));
     }
@@ -208,6 +208,21 @@
         return new WeightsLease(term, true, intents, ordersLostVersion, rowVersion);
     }
 
+    /**
+     * Returns the lease with what its holder has learned of the orders in it.
+     *
+     * @param read whether the server of an order has read it, or never will
+     * @return the lease, whose intents tell that
+     */
+    public WeightsLease withRead(Predicate<OrderKey> read) {
+        List<OrderIntent> updated = intents.stream()
+                .map(intent -> !intent.progress().isRead() && read.test(intent.key())
+                        ? intent.with(OrderProgress.ANSWERED)
+                        : intent)
+                .toList();
+        return new WeightsLease(term, released, updated, ordersLostVersion, replacedVersion);
+    }
+
     private static boolean sameOrder(OrderIntent order, OrderIntent intent) {
         return order.server().equals(intent.server())
                 && order.model().equals(intent.model())
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsLeaseTest.java
@@ -13,7 +13,7 @@
     private static final LeaseTerm TERM_A = new LeaseTerm(3, "host-a", "p1");
 
     private static OrderIntent intent(String server, String holder, long rowVersion) {
-        return new OrderIntent(new OrderKey(server, 3, rowVersion), "model", 2, holder, 16, false);
+        return new OrderIntent(new OrderKey(server, 3, rowVersion), "model", 2, holder, 16, OrderProgress.ISSUED);
     }
 
     @Test
@@ -76,8 +76,8 @@
     @Property(tries = 1000)
     void shouldReturnEqualLeaseWhateverTheNamesHold(
             @ForAll String server, @ForAll String model, @ForAll String holder, @ForAll @LongRange(min = 0) long lost) {
-        OrderIntent first = new OrderIntent(new OrderKey(server, 9, lost), model, 3, holder, 5, true);
-        OrderIntent second = new OrderIntent(new OrderKey(model, 8, 7), holder, 4, server, 6, false);
+        OrderIntent first = new OrderIntent(new OrderKey(server, 9, lost), model, 3, holder, 5, OrderProgress.DONE);
+        OrderIntent second = new OrderIntent(new OrderKey(model, 8, 7), holder, 4, server, 6, OrderProgress.ISSUED);
         WeightsLease lease =
                 new WeightsLease(new LeaseTerm(9, holder, server), lost % 2 == 0, List.of(first, second), lost, lost);
         String stored = new String(lease.encode().getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8);
@@ -86,7 +86,8 @@
 
     @Test
     void shouldReadRowsThatWereWrittenBeforeNamesWereEncoded() {
-        OrderIntent intent = new OrderIntent(new OrderKey("server-1", 0, 99), "50%", 3, "front-a-1", 99, false);
+        OrderIntent intent =
+                new OrderIntent(new OrderKey("server-1", 0, 99), "50%", 3, "front-a-1", 99, OrderProgress.ISSUED);
         LeaseTerm term = new LeaseTerm(7, "front-a-1", "");
         assertThat(WeightsLease.decode("7 front-a-1 12\nserver-1 50% 3 front-a-1 99 false"))
                 .contains(new WeightsLease(term, false, List.of(intent), 0, WeightsLease.UNKNOWN_VERSION));
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -10,6 +10,7 @@
 import org.geraniumford.core.weights.LeaseTerm;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.OrderSightings;
+import org.geraniumford.core.weights.OrderSpacing;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.transport.log.LogEvent;
 
@@ -51,10 +52,10 @@
      * @param host the name of this host
      * @param process identifies this process on its host
      * @param clock the local clock
-     * @param orderSpacing the time between orders of two terms to one server
+     * @param orderSpacing what keeps the orders of two terms to one server apart
      * @param extraRetention how much longer than the spacing intents stay in the row
      */
-    KnownLease(String host, String process, LocalClock clock, Duration orderSpacing, Duration extraRetention) {
+    KnownLease(String host, String process, LocalClock clock, OrderSpacing orderSpacing, Duration extraRetention) {
         this.host = host;
         this.process = process;
         this.clock = clock;
@@ -136,15 +137,26 @@
         return sightings.allowsOrder(server, term.fencingToken(), clock.nanos());
     }
 
+    /** Returns whether a server has to answer a request before another term may order it. */
+    boolean isAnswerMissing(String server) {
+        return sightings.isAnswerMissing(server, clock.nanos());
+    }
+
     /** Returns the row as this process writes it to renew or take over the lease and to record intents. */
     WeightsLease renewedWith(LeaseTerm term, List<OrderIntent> newIntents) {
         long nowNanos = clock.nanos();
         return lease.renewedBy(
-                term,
-                newIntents,
-                order -> sightings.isNeeded(order, extraRetention, nowNanos),
-                sightings.isLossRecent(nowNanos),
-                rowVersion);
+                        term,
+                        newIntents,
+                        order -> sightings.isNeeded(order, extraRetention, nowNanos),
+                        sightings.isLossRecent(nowNanos),
+                        rowVersion)
+                .withRead(sightings::isRead);
+    }
+
+    /** Returns the row as this process writes it to release the lease. */
+    WeightsLease released() {
+        return lease.asReleased(rowVersion).withRead(sightings::isRead);
     }
 
     /** Returns the orders of other terms that hold back orders of a term. */
@@ -168,6 +180,11 @@
 
     // -- commands
 
+    /** Records that a server has just answered a request. */
+    void recordAnswer(String server, long sentNanos) {
+        sightings.recordAnswer(server, sentNanos, clock.nanos());
+    }
+
     /**
      * Applies the row as a peer announced it, if it is newer and can be read.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.LeaseTerm;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.OrderKey;
+import org.geraniumford.core.weights.OrderProgress;
 import org.geraniumford.core.weights.RolloutCandidate;
 import org.geraniumford.core.weights.RolloutPlan;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -41,10 +43,19 @@
 
     /** Returns whether a server that is not leaving has older weights than the published ones. */
     boolean hasOutdatedServers() {
+        return streamOutdated().findAny().isPresent();
+    }
+
+    /** Returns the servers that are not leaving and have older weights than the published ones. */
+    List<ServerState> outdatedServers() {
+        return streamOutdated().distinct().toList();
+    }
+
+    private Stream<ServerState> streamOutdated() {
         return state.publishedWeights().entrySet().stream()
-                .anyMatch(entry -> modelServers(entry.getKey()).stream()
+                .flatMap(entry -> modelServers(entry.getKey()).stream()
                         .filter(server -> !server.server().leaving())
-                        .anyMatch(server -> isOutdated(server, entry.getKey(), entry.getValue())));
+                        .filter(server -> isOutdated(server, entry.getKey(), entry.getValue())));
     }
 
     /**
@@ -98,7 +109,7 @@
                         version,
                         host,
                         storeNowMillis,
-                        false))
+                        OrderProgress.ISSUED))
                 .toList();
     }
 
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -7,6 +7,7 @@
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
 import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.OrderProgress;
 import org.geraniumford.daemon.gateway.ServerLimits;
 import org.geraniumford.transport.log.LogEvent;
 
@@ -37,6 +38,7 @@
     private final IssueWindow issueWindow;
     private boolean reportPending;
     private boolean issued;
+    private boolean answered;
     private boolean ended;
     private long reportRequestedNanos;
 
@@ -77,8 +79,9 @@
         return server.server().failureDomain();
     }
 
+    /** Returns the intent, with how far the order has got. */
     OrderIntent intent() {
-        return intent;
+        return answered ? intent.with(OrderProgress.ANSWERED) : intent;
     }
 
     boolean isFinished() {
@@ -140,7 +143,8 @@
                     .with("sequence", expectedSequence)
                     .with("outcome", failure == null ? accepted : failure)
                     .info();
-            if (failure == null) {
+            answered = failure == null;
+            if (answered) {
                 listener.answered(intent.server());
             } else {
                 listener.unanswered(intent.server());
@@ -213,7 +217,7 @@
             return;
         }
         ended = true;
-        listener.loaded(intent.asDone(), sinceWrite());
+        listener.loaded(intent.with(OrderProgress.DONE), sinceWrite());
         LogEvent.of("weights_loaded")
                 .with("server", intent.server())
                 .with("version", intent.version())
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -11,6 +11,8 @@
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.LeaseTerm;
 import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.OrderProgress;
+import org.geraniumford.core.weights.OrderSpacing;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
 import org.geraniumford.transport.log.LogEvent;
@@ -54,6 +56,7 @@
     private final KnownLease known;
     private final OrderPlanner planner;
     private final PendingOrders pendingOrders;
+    private final HeldBackServers heldBackServers;
     private final RandomGenerator random;
 
     /** Whether the row was read after this process last decided to take over the lease. */
@@ -100,15 +103,15 @@
         this.leaseStore = leaseStore;
         this.clock = clock;
         this.random = random;
-        Duration orderSpacing = times.leaseHandoverDelay()
-                .plus(PendingOrder.ISSUE_WINDOW)
-                .plus(EngineAdmin.DELIVERY_TIME)
-                .plus(SPACING_MARGIN);
-        this.releaseTime = orderSpacing.plus(TAKEOVER_TIME);
+        OrderSpacing orderSpacing = new OrderSpacing(
+                PendingOrder.ISSUE_WINDOW.plus(EngineAdmin.DELIVERY_TIME),
+                times.leaseHandoverDelay().plus(SPACING_MARGIN));
+        this.releaseTime = orderSpacing.total().plus(TAKEOVER_TIME);
         this.known =
                 new KnownLease(host, Long.toHexString(random.nextLong()), clock, orderSpacing, ESTIMATED_LOADING_TIME);
         this.planner = new OrderPlanner(host, state, known, clock, times.maxStaleness());
         this.pendingOrders = new PendingOrders(state, engines, clock, token -> !stopped && known.isTerm(token));
+        this.heldBackServers = new HeldBackServers(state, engines, known, clock);
     }
 
     // -- construction
@@ -172,7 +175,7 @@
             long ageMillis = leaseStore.nowMillis() - intent.recordedMillis();
             boolean ended = known.isTerm(intent.key().fencingToken())
                     && !pendingOrders.servers().contains(intent.server());
-            if (intent.done()) {
+            if (intent.progress() == OrderProgress.DONE) {
                 server.recordWeightsVersion(intent.model(), intent.version());
             } else if (!ended
                     && ageMillis < ESTIMATED_LOADING_TIME.toMillis()
@@ -217,7 +220,7 @@
 
     /** Writes the lease as released, so that any other entry can take it. */
     private void release() {
-        WeightsLease released = known.lease().asReleased(known.rowVersion());
+        WeightsLease released = known.released();
         markStoreCall();
         lastWriteNanos = storeCallNanos;
         leftToOthers = true;
@@ -280,6 +283,7 @@
         if (writes.comeToNothing() || pendingOrders.reachesNoServer()) {
             release();
         } else if (!leftToOthers) {
+            askHeldBackServers();
             writeIntents();
         }
     }
@@ -293,6 +297,7 @@
         if (clock.nanos() - takeoverNanos < 0) {
             return;
         }
+        askHeldBackServers();
         if (rowRead) {
             writeIntents();
         } else {
@@ -300,6 +305,10 @@
         }
     }
 
+    private void askHeldBackServers() {
+        heldBackServers.ask(planner.outdatedServers());
+    }
+
     private void markStoreCall() {
         storeCallPending = true;
         storeCallNanos = clock.nanos();
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -13,6 +13,7 @@
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.OrderIntent;
+import org.geraniumford.core.weights.OrderProgress;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -45,10 +46,12 @@
         assertThat(engine.orders).isEqualTo(1);
         OrderIntent intent = leases.lastIntents().get(0);
         assertThat(leases.lastIntents())
-                .containsExactly(new OrderIntent(intent.key(), "model", 2, "host", leases.nowMillis(), false));
+                .containsExactly(
+                        new OrderIntent(intent.key(), "model", 2, "host", leases.nowMillis(), OrderProgress.ISSUED));
         tickAfter(1000);
         assertThat(leases.lastIntents())
-                .containsExactly(new OrderIntent(intent.key(), "model", 2, "host", leases.nowMillis(), false));
+                .containsExactly(
+                        new OrderIntent(intent.key(), "model", 2, "host", leases.nowMillis(), OrderProgress.ANSWERED));
         assertThat(intent.recordedMillis()).isLessThan(leases.nowMillis());
         assertThat(engine.orders).isEqualTo(1);
     }
