--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -219,19 +219,24 @@
             long highestToken = Math.max(row.storeVersion(), lease.term().fencingToken());
             adopt(WeightsLease.ofMissingRow(highestToken), 0, row.storeVersion());
         } else {
-            adopt(decode(row.snapshot()), version, version);
+            adopt(decode(row), version, version);
         }
         return true;
     }
 
-    private static WeightsLease decode(LeaseSnapshot row) {
-        return WeightsLease.decode(row.encodedLease()).orElseGet(() -> {
-            LogEvent.of("lease_unreadable")
-                    .with("row", row.version())
-                    .with("value", LogEvent.limited(row.encodedLease()))
-                    .warn();
-            return WeightsLease.ofUnreadableRow(row.version());
-        });
+    /** Returns the lease in the row; one with lost intents if it cannot be read, or if others have changed it. */
+    private static WeightsLease decode(LeaseRow row) {
+        LeaseSnapshot snapshot = row.snapshot();
+        Optional<WeightsLease> lease = WeightsLease.decode(snapshot.encodedLease());
+        if (lease.isPresent() && !row.isChangedByOthers()) {
+            return lease.get();
+        }
+        LogEvent.of(lease.isPresent() ? "lease_changed_by_others" : "lease_unreadable")
+                .with("row", snapshot.version())
+                .with("written", row.writtenVersion())
+                .with("value", LogEvent.limited(snapshot.encodedLease()))
+                .warn();
+        return WeightsLease.ofUnreadableRow(snapshot.version());
     }
 
     /**
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -143,7 +143,7 @@
     private static final class NoLeases implements LeaseStore {
         @Override
         public CompletableFuture<LeaseRow> read() {
-            return CompletableFuture.completedFuture(new LeaseRow(LeaseSnapshot.empty(), 0));
+            return CompletableFuture.completedFuture(new LeaseRow(LeaseSnapshot.empty(), 0, 0));
         }
 
         @Override
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -152,7 +152,7 @@
 
         @Override
         public CompletableFuture<LeaseRow> read() {
-            return losesReads ? new CompletableFuture<>() : CompletableFuture.completedFuture(new LeaseRow(row, 0));
+            return losesReads ? new CompletableFuture<>() : CompletableFuture.completedFuture(new LeaseRow(row, 0, 0));
         }
 
         @Override
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
@@ -107,7 +107,7 @@
 
         @Override
         public CompletableFuture<LeaseRow> read() {
-            return CompletableFuture.completedFuture(new LeaseRow(snapshot, version));
+            return CompletableFuture.completedFuture(new LeaseRow(snapshot, version, 0));
         }
 
         @Override
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
@@ -197,7 +197,7 @@
         @Override
         public CompletableFuture<LeaseRow> read() {
             return later(CALL_MILLIS, () -> {}, CompletableFuture.completedFuture(null))
-                    .thenApply(none -> new LeaseRow(snapshot, version));
+                    .thenApply(none -> new LeaseRow(snapshot, version, 0));
         }
 
         @Override
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
@@ -200,7 +200,7 @@
 
         @Override
         public CompletableFuture<LeaseRow> read() {
-            return call(() -> new LeaseRow(row, storeVersion));
+            return call(() -> new LeaseRow(row, storeVersion, 0));
         }
 
         @Override
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -244,6 +244,7 @@
     private static final class SharedRow {
         private LeaseSnapshot snapshot = LeaseSnapshot.empty();
         private long storeVersion = 7;
+        private long writtenVersion;
 
         /** The responses to writes that are delayed; null if they arrive at once. */
         private List<Runnable> delayed;
@@ -263,6 +264,7 @@
                 return OptionalLong.empty();
             }
             storeVersion++;
+            writtenVersion = storeVersion;
             snapshot = new LeaseSnapshot(storeVersion, lease.encode());
             return OptionalLong.of(storeVersion);
         }
@@ -280,7 +282,7 @@
 
         @Override
         public CompletableFuture<LeaseRow> read() {
-            return CompletableFuture.completedFuture(new LeaseRow(row.snapshot, row.storeVersion));
+            return CompletableFuture.completedFuture(new LeaseRow(row.snapshot, row.storeVersion, row.writtenVersion));
         }
 
         @Override
