--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -8,6 +8,7 @@
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.LeaseTerm;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.OrderSightings;
 import org.geraniumford.core.weights.OrderSpacing;
@@ -35,9 +36,12 @@
 
     private WeightsLease lease = WeightsLease.empty();
 
-    /** The version that the next write expects; 0 if the row does not exist. */
+    /** The version of the row that the next write expects; 0 if the row does not exist. */
     private long rowVersion;
 
+    /** The version of the last write of the row that the next write expects. */
+    private long writtenVersion;
+
     /** The newest version, of the row or of the store, as of which the row is known. */
     private long knownVersion;
 
@@ -96,6 +100,11 @@
         return rowVersion;
     }
 
+    /** Returns what the next write expects. */
+    LeaseVersions versions() {
+        return new LeaseVersions(rowVersion, writtenVersion);
+    }
+
     /** Returns whether the current term is this process's own. */
     boolean isOwn() {
         return lease.term().isOf(host, process);
@@ -195,7 +204,7 @@
             return false;
         }
         Optional<WeightsLease> announced = WeightsLease.decode(snapshot.encodedLease());
-        announced.ifPresent(newLease -> adopt(newLease, snapshot.version(), snapshot.version()));
+        announced.ifPresent(newLease -> adoptWritten(newLease, snapshot.version()));
         return announced.isPresent();
     }
 
@@ -212,7 +221,11 @@
         // A row that is missing again may have been written and removed meanwhile.
         boolean unchanged = known && version > 0 && version == rowVersion;
         boolean outdated = known && version < knownVersion && readNanos - learnedNanos < 0;
-        if (unchanged || outdated) {
+        if (outdated) {
+            return false;
+        }
+        writtenVersion = row.writtenVersion();
+        if (unchanged) {
             return false;
         }
         if (row.snapshot().isEmpty()) {
@@ -248,10 +261,16 @@
         if (newRowVersion <= knownVersion) {
             return false;
         }
-        adopt(written, newRowVersion, newRowVersion);
+        adoptWritten(written, newRowVersion);
         return true;
     }
 
+    /** Adopts the row as an entry has written it; a write that expects too much here fails, and the row is read. */
+    private void adoptWritten(WeightsLease newLease, long version) {
+        writtenVersion = version;
+        adopt(newLease, version, version);
+    }
+
     private void adopt(WeightsLease newLease, long newRowVersion, long newKnownVersion) {
         boolean putBack = newLease.isOlderThan(rowVersion)
                 || newLease.term().fencingToken() < lease.term().fencingToken();
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -225,7 +225,7 @@
         lastWriteNanos = storeCallNanos;
         leftToOthers = true;
         releasedNanos = storeCallNanos;
-        leaseStore.write(known.rowVersion(), released).whenComplete((newRowVersion, failure) -> {
+        leaseStore.write(known.versions(), released).whenComplete((newRowVersion, failure) -> {
             storeCallPending = false;
             if (failure == null && newRowVersion.isPresent()) {
                 known.applyWritten(released, newRowVersion.getAsLong());
@@ -366,7 +366,7 @@
         IssueWindow issueWindow = IssueWindow.starting(clock, PendingOrder.ISSUE_WINDOW);
         markStoreCall();
         lastWriteNanos = storeCallNanos;
-        leaseStore.write(known.rowVersion(), newLease).whenComplete((newRowVersion, failure) -> {
+        leaseStore.write(known.versions(), newLease).whenComplete((newRowVersion, failure) -> {
             storeCallPending = false;
             if (failure != null) {
                 writes.recordFailure();
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -21,6 +21,7 @@
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
 import org.geraniumford.daemon.weights.EngineAdmin;
@@ -147,7 +148,7 @@
         }
 
         @Override
-        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
+        public CompletableFuture<OptionalLong> write(LeaseVersions expected, WeightsLease lease) {
             return CompletableFuture.completedFuture(OptionalLong.empty());
         }
 
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -12,6 +12,7 @@
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.OrderProgress;
 import org.geraniumford.core.weights.PublishedWeights;
@@ -156,8 +157,8 @@
         }
 
         @Override
-        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
-            expectedVersions.add(expectedVersion);
+        public CompletableFuture<OptionalLong> write(LeaseVersions expected, WeightsLease lease) {
+            expectedVersions.add(expected.row());
             if (losesWrites) {
                 return CompletableFuture.completedFuture(OptionalLong.empty());
             }
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
@@ -13,6 +13,7 @@
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -111,8 +112,8 @@
         }
 
         @Override
-        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
-            if (expectedVersion != snapshot.version()) {
+        public CompletableFuture<OptionalLong> write(LeaseVersions expected, WeightsLease lease) {
+            if (expected.row() != snapshot.version()) {
                 return CompletableFuture.completedFuture(OptionalLong.empty());
             }
             version++;
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
@@ -16,6 +16,7 @@
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -201,11 +202,11 @@
         }
 
         @Override
-        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
+        public CompletableFuture<OptionalLong> write(LeaseVersions expected, WeightsLease lease) {
             boolean lostCall = losesCalls;
             CompletableFuture<OptionalLong> answer = later(
                             CALL_MILLIS, () -> {}, CompletableFuture.completedFuture(null))
-                    .thenApply(none -> lostCall ? OptionalLong.empty() : perform(expectedVersion, lease));
+                    .thenApply(none -> lostCall ? OptionalLong.empty() : perform(expected.row(), lease));
             return losesResponses || losesCalls
                     ? later(
                             STORE_TIMEOUT_MILLIS,
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
@@ -18,6 +18,7 @@
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -204,9 +205,9 @@
         }
 
         @Override
-        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
+        public CompletableFuture<OptionalLong> write(LeaseVersions expected, WeightsLease lease) {
             return call(() -> {
-                if (expectedVersion != row.version()) {
+                if (expected.row() != row.version()) {
                     return OptionalLong.empty();
                 }
                 storeVersion++;
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -15,6 +15,7 @@
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
+import org.geraniumford.core.weights.LeaseVersions;
 import org.geraniumford.core.weights.PublishedWeights;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
@@ -81,6 +82,15 @@
             assertThat(received).hasSize(orders);
         }
 
+        /** Acts until it has read the row before its takeover, and decided to write it. */
+        void standStillBeforeItsFirstWrite() {
+            publish();
+            while (row.reads < 2) {
+                controller.tick();
+                clock.advance(TICK_MILLIS);
+            }
+        }
+
         private void follow(Entry leader) {
             controller.applyLeaseSnapshot(leader.controller.leaseGossip());
             controller.tick();
@@ -136,6 +146,17 @@
         assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
     }
 
+    /** Guards against a write on the condition that there is no row, by a process that has read so long before. */
+    @Test
+    void shouldKeepTheHandoverTimeAndRaiseTheTokenWhenTheRowIsWrittenAndRemovedWhileAnotherStandsStill() {
+        Entry second = new Entry("second", 0, 0);
+        second.standStillBeforeItsFirstWrite();
+        new Entry("first", 0, 0).actUntilReceived(1);
+        row.remove();
+        second.actUntilReceived(2);
+        assertThat(distance()).isGreaterThan(HANDOVER_MILLIS);
+    }
+
     /** Guards against orders that a row does not tell of, because somebody has put an earlier value back. */
     @Test
     void shouldKeepTheHandoverTimeAndRaiseTheTokenWhenTheRowIsPutBack() {
@@ -245,6 +266,7 @@
         private LeaseSnapshot snapshot = LeaseSnapshot.empty();
         private long storeVersion = 7;
         private long writtenVersion;
+        private int reads;
 
         /** The responses to writes that are delayed; null if they arrive at once. */
         private List<Runnable> delayed;
@@ -259,8 +281,8 @@
             snapshot = new LeaseSnapshot(storeVersion, value);
         }
 
-        OptionalLong write(long expectedVersion, WeightsLease lease) {
-            if (expectedVersion != snapshot.version()) {
+        OptionalLong write(LeaseVersions expected, WeightsLease lease) {
+            if (!expected.equals(new LeaseVersions(snapshot.version(), writtenVersion))) {
                 return OptionalLong.empty();
             }
             storeVersion++;
@@ -282,12 +304,13 @@
 
         @Override
         public CompletableFuture<LeaseRow> read() {
+            row.reads++;
             return CompletableFuture.completedFuture(new LeaseRow(row.snapshot, row.storeVersion, row.writtenVersion));
         }
 
         @Override
-        public CompletableFuture<OptionalLong> write(long expectedVersion, WeightsLease lease) {
-            OptionalLong newVersion = row.write(expectedVersion, lease);
+        public CompletableFuture<OptionalLong> write(LeaseVersions expected, WeightsLease lease) {
+            OptionalLong newVersion = row.write(expected, lease);
             if (row.delayed == null) {
                 return CompletableFuture.completedFuture(newVersion);
             }
