--- a/daemon/src/test/java/org/geraniumford/daemon/weights/HeldBackServersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/HeldBackServersTest.java
@@ -87,7 +87,7 @@
                 clock,
                 new OrderSpacing(Duration.ofMillis(ARRIVAL_MILLIS), Duration.ofSeconds(3)),
                 Duration.ZERO);
-        known.applyRead(new LeaseRow(new LeaseSnapshot(9, leaseOfAnother().encode()), 9), clock.nanos());
+        known.applyRead(new LeaseRow(new LeaseSnapshot(9, leaseOfAnother().encode()), 9, 9), clock.nanos());
         clock.advance(ARRIVAL_MILLIS);
         CountingEngine engine = new CountingEngine();
         new HeldBackServers(state, engine, known, clock).ask(List.of(server));
