--- a/core/src/main/java/org/geraniumford/core/stream/StreamOrigin.java
+++ b/core/src/main/java/org/geraniumford/core/stream/StreamOrigin.java
@@ -11,9 +11,9 @@
  *
  * @param requestKey the key of the request that brought the stream's first event, by {@link #key}
  * @param service the name of the service
- * @param softwareVersion the version of the software of the server that was sent the request; empty if its listing
+ * @param softwareVersion the version of the software of the server that sent the first event; empty if its listing
  *     names none
- * @param begunMillis when the server was sent the request, in milliseconds of the clock that all entries share
+ * @param begunMillis when the first event arrived, in milliseconds of the clock that all entries share
  */
 public record StreamOrigin(long requestKey, String service, String softwareVersion, long begunMillis) {
     /** Checks the components. */
--- a/core/src/main/java/org/geraniumford/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/geraniumford/core/stream/StreamOrigins.java
@@ -58,8 +58,7 @@
     // -- commands
 
     /**
-     * Adds origins. Of two for the same request the later one counts, because a request may have had an attempt before
-     * the one that brought an event.
+     * Adds origins. Of two for the same request the later one counts.
      *
      * @param origins the origins
      */
--- a/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/gateway/StreamSoftware.java
@@ -7,6 +7,7 @@
 import org.geraniumford.core.service.RouteKind;
 import org.geraniumford.core.verdict.Reason;
 import org.geraniumford.core.verdict.Refusal;
+import org.geraniumford.daemon.streams.StreamAttempt;
 import org.geraniumford.daemon.streams.StreamRegistry;
 import org.geraniumford.daemon.streams.TakeUp;
 import org.geraniumford.transport.log.LogEvent;
@@ -31,6 +32,9 @@
     /** The version at the server of the last attempt. */
     private String attemptedVersion = "";
 
+    /** The last attempt, if its stream may be taken up by the name of this request. */
+    private Optional<StreamAttempt> attempt = Optional.empty();
+
     /** Complete once that version is known to all entries. */
     private CompletableFuture<Void> known = CompletableFuture.completedFuture(null);
 
@@ -98,13 +102,14 @@
     }
 
     /**
-     * Records that a server is sent the request, of which no event has arrived yet. Its events are held back until its
-     * version is known to all entries.
+     * Begins an attempt of the request, of which no event has arrived yet. Its events are held back until its version
+     * is known to all entries.
      */
     void beginAttempt(ServerState server) {
         attemptedVersion = server.server().softwareVersion();
         if (admitted.route().resumable() && !isTakenUp()) {
-            streams.begin(admitted.request().id(), admitted.service(), attemptedVersion, lifetime());
+            attempt = Optional.of(
+                    streams.begin(admitted.request().id(), admitted.service(), attemptedVersion, lifetime()));
             holdUntilKnown(streams.whenKnownToAll(admitted.service(), attemptedVersion));
         }
     }
@@ -128,8 +133,9 @@
         }
     }
 
-    /** Keeps the stream at the version of the last attempt, whose first event has arrived. */
+    /** Keeps the stream at the version of the last attempt, whose first event has arrived, and tells others of it. */
     void recordFirstEvent() {
         planner.goOnAt(attemptedVersion);
+        attempt.ifPresent(streams::recordFirstEvent);
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -57,6 +57,8 @@
 
     private List<StreamOrigin> unannounced = new ArrayList<>();
 
+    private Runnable unannouncedListener = () -> {};
+
     /** Where streams are recorded; null before {@link #recordIn}. */
     private StreamStore store;
 
@@ -212,19 +214,39 @@
     }
 
     /**
-     * Records that a server is sent a request for a stream that a caller may take up again.
+     * Sets what is called when there are streams that peers have not been told of.
+     *
+     * @param listener the listener, called on the network thread
+     */
+    public void onUnannounced(Runnable listener) {
+        unannouncedListener = requireNonNull(listener, "listener is null");
+    }
+
+    /**
+     * Begins an attempt at a stream that a caller may take up again. Nobody is told of it before its first event: the
+     * attempt may fail without one, and the next one may begin at another version.
      *
      * @param requestId the id that the caller gave to the request
      * @param service the service
-     * @param softwareVersion the version of the server's software
+     * @param softwareVersion the version of the software of the server that is sent the request
      * @param lifetime how long the stream may last
+     * @return the attempt, for {@link #recordFirstEvent}
      */
-    public void begin(String requestId, String service, String softwareVersion, Duration lifetime) {
-        StreamOrigin origin = new StreamOrigin(StreamOrigin.key(requestId), service, softwareVersion, clock.millis());
-        origins.add(List.of(origin));
-        untold.put(origin, lifetime);
+    public StreamAttempt begin(String requestId, String service, String softwareVersion, Duration lifetime) {
         software.look();
-        if (isMixed(service, lifetime)) {
+        return new StreamAttempt(requestId, service, softwareVersion, lifetime);
+    }
+
+    /**
+     * Records that the first event of a stream has arrived, so that it goes on at the version of that attempt only.
+     *
+     * @param attempt the attempt that brought the event
+     */
+    public void recordFirstEvent(StreamAttempt attempt) {
+        StreamOrigin origin = attempt.originAt(clock.millis());
+        origins.add(List.of(origin));
+        untold.put(origin, attempt.lifetime());
+        if (isMixed(attempt.service(), attempt.lifetime())) {
             announceMixed();
         }
     }
@@ -242,7 +264,11 @@
         mixed.forEach(untold::remove);
         told.addAll(mixed);
         unannounced.addAll(mixed);
-        if (recorder != null && !mixed.isEmpty()) {
+        if (mixed.isEmpty()) {
+            return;
+        }
+        unannouncedListener.run();
+        if (recorder != null) {
             recorder.add(mixed);
             recorder.tick(store);
         }
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -141,6 +141,35 @@
         assertThat(one.softwareOf("id")).isNotEqualTo(Optional.of("v1"));
     }
 
+    /** The store has what was written before the second attempt, and nothing of it. */
+    @Test
+    void shouldNotGoOnAtTheVersionOfAnAttemptThatBroughtNoEventWhenAllEntriesHaveEnded() {
+        listed.put("server-2", "v2");
+        advance(1000);
+        other.begin("v1");
+        advance(300);
+        other.store.failing = true;
+        one.store.failing = true;
+        other.begin("v2");
+        advance(300);
+        Entry restarted = new Entry("restarted", 3);
+        restarted.tick();
+        assertThat(restarted.softwareOf("id")).isNotEqualTo(Optional.of("v1"));
+    }
+
+    @Test
+    void shouldGoOnAtTheVersionOfTheAttemptThatBroughtTheFirstEvent() {
+        listed.put("server-2", "v2");
+        advance(1000);
+        other.begin("v1");
+        one.registry.applyGossip(other.registry.gossip(false));
+        other.beginWithEvent("v2");
+        one.registry.applyGossip(other.registry.gossip(false));
+        one.store.failing = true;
+        assertThat(one.softwareOf("id")).contains("v2");
+        assertThat(other.softwareOf("id")).contains("v2");
+    }
+
     /** Each call is billed. */
     @Test
     void shouldNotCallTheStoreWhileVersionsStayTheSame() {
@@ -184,6 +213,11 @@
             return registry.whenKnownToAll("service", version);
         }
 
+        /** Begins a stream whose first event arrives at once. */
+        private void beginWithEvent(String version) {
+            registry.recordFirstEvent(registry.begin("id", "service", version, LIFETIME));
+        }
+
         private Optional<String> softwareOf(String requestId) {
             return registry.softwareOf(Optional.of(requestId), "service", LIFETIME)
                     .join()
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ServerDirectory;
 import org.geraniumford.core.stream.StreamBatch;
@@ -41,6 +42,10 @@
         return asked.softwareOf(Optional.of(id), "service", LIFETIME).join().version();
     }
 
+    private void beginWithEvent(String id, String version) {
+        registry.recordFirstEvent(registry.begin(id, "service", version, LIFETIME));
+    }
+
     private void advance(long millis) {
         for (long i = 0; i < millis; i += 100) {
             nowMillis += 100;
@@ -60,7 +65,7 @@
     @Test
     void shouldRecordNoStreamWhileAServiceHasOneVersion() {
         registry.tick();
-        registry.begin("id", "service", "v1", LIFETIME);
+        beginWithEvent("id", "v1");
         advance(1000);
         assertThat(store.batches).isEmpty();
         assertThat(registry.gossip(true)).isEmpty();
@@ -80,8 +85,8 @@
     void shouldRecordStreamsWhileAServiceHasTwoVersions() {
         list("server-2", "v2");
         registry.tick();
-        registry.begin("one", "service", "v1", LIFETIME);
-        registry.begin("two", "service", "v2", LIFETIME);
+        beginWithEvent("one", "v1");
+        beginWithEvent("two", "v2");
         advance(200);
         assertThat(softwareOf(restarted(), "one")).contains("v1");
         assertThat(softwareOf(restarted(), "two")).contains("v2");
@@ -93,7 +98,7 @@
     @Test
     void shouldRecordTheStreamsInProgressWhenASecondVersionComes() {
         registry.tick();
-        registry.begin("id", "service", "v1", LIFETIME);
+        beginWithEvent("id", "v1");
         list("server-2", "v2");
         advance(200);
         assertThat(softwareOf(restarted(), "id")).contains("v1");
@@ -106,7 +111,7 @@
         registry.tick();
         directory.deregister("server-1", 0);
         advance(20_000);
-        registry.begin("id", "service", "v2", LIFETIME);
+        beginWithEvent("id", "v2");
         advance(500);
         assertThat(store.batches).isEmpty();
         list("server-3", "v3");
@@ -128,17 +133,46 @@
     }
 
     @Test
-    void shouldRecordTheVersionOfTheLastAttempt() {
+    void shouldRecordTheVersionOfTheAttemptThatBroughtTheFirstEvent() {
         list("server-2", "v2");
         registry.tick();
         registry.begin("id", "service", "v1", LIFETIME);
         advance(300);
-        registry.begin("id", "service", "v2", LIFETIME);
+        beginWithEvent("id", "v2");
         advance(300);
         assertThat(softwareOf(registry, "id")).contains("v2");
         assertThat(softwareOf(restarted(), "id")).contains("v2");
     }
 
+    /** Whoever has a record of an attempt that fails could go on at its version with events of the next one. */
+    @Test
+    void shouldRecordNoAttemptBeforeItsFirstEvent() {
+        list("server-2", "v2");
+        registry.tick();
+        registry.begin("id", "service", "v1", LIFETIME);
+        advance(1000);
+        assertThat(softwareOf(registry, "id")).isEmpty();
+        assertThat(softwareOf(restarted(), "id")).isEmpty();
+        assertThat(registry.gossip(true)).isEmpty();
+        assertThat(store.batches).isEmpty();
+    }
+
+    /** A stream that waits until the next message to peers is not known if its entry ends before. */
+    @Test
+    void shouldAskForAMessageToPeersAtTheFirstEventsOfServicesWithTwoVersions() {
+        AtomicInteger asked = new AtomicInteger();
+        registry.onUnannounced(asked::incrementAndGet);
+        registry.tick();
+        beginWithEvent("one", "v1");
+        assertThat(asked).hasValue(0);
+        list("server-2", "v2");
+        StreamAttempt attempt = registry.begin("two", "service", "v1", LIFETIME);
+        assertThat(asked).hasValue(0);
+        registry.recordFirstEvent(attempt);
+        assertThat(asked).hasValue(1);
+        assertThat(registry.gossip(false)).hasSize(2);
+    }
+
     @Test
     void shouldRecordWhatPeersTellInItsTurnsOnly() {
         list("server-2", "v2");
@@ -159,7 +193,7 @@
         list("server-2", "v2");
         registry.tick();
         for (int i = 0; i < 5000; i++) {
-            registry.begin("id-" + i, "service", "v1", LIFETIME);
+            beginWithEvent("id-" + i, "v1");
             nowMillis += 2;
         }
         assertThat(store.written).isLessThan(16 + 9 * 10);
@@ -172,11 +206,11 @@
         list("server-2", "v2");
         store.batches.put("streams/other/1/0", new StreamBatch(START - 60_000, List.of()));
         registry.tick();
-        registry.begin("one", "service", "v1", LIFETIME);
+        beginWithEvent("one", "v1");
         advance(45_000);
-        registry.begin("two", "service", "v1", LIFETIME);
+        beginWithEvent("two", "v1");
         assertThat(softwareOf(registry, "none")).isEmpty();
-        registry.begin("three", "service", "v1", LIFETIME);
+        beginWithEvent("three", "v1");
         advance(500);
         assertThat(store.batches.values().stream().flatMap(batch -> batch.origins().stream()))
                 .extracting(StreamOrigin::requestKey)
@@ -188,7 +222,7 @@
         list("server-2", "v2");
         registry.tick();
         store.failing = true;
-        registry.begin("id", "service", "v1", LIFETIME);
+        beginWithEvent("id", "v1");
         advance(500);
         assertThat(softwareOf(restarted(), "id")).isEmpty();
         store.failing = false;
@@ -200,7 +234,7 @@
     void shouldKnowNoStreamOfAnotherService() {
         list("server-2", "v2");
         registry.tick();
-        registry.begin("id", "service", "v1", LIFETIME);
+        beginWithEvent("id", "v1");
         assertThat(registry.softwareOf(Optional.of("id"), "other", LIFETIME)
                         .join()
                         .version())
