--- a/core/src/main/java/org/geraniumford/core/stream/SoftwareHistory.java
+++ b/core/src/main/java/org/geraniumford/core/stream/SoftwareHistory.java
@@ -132,6 +132,15 @@
                         SoftwareSpan::service, Collectors.mapping(SoftwareSpan::version, Collectors.toSet())));
     }
 
+    /**
+     * Returns whether some service has several versions.
+     *
+     * @return true if it has them, or had them within the time that is remembered
+     */
+    public boolean hasSeveralVersions() {
+        return services().size() < spans.size();
+    }
+
     /**
      * Returns whether the versions of a service are known for long enough.
      *
--- a/core/src/test/java/org/geraniumford/core/stream/SoftwareHistoryTest.java
+++ b/core/src/test/java/org/geraniumford/core/stream/SoftwareHistoryTest.java
@@ -41,6 +41,17 @@
         assertThat(history.versionsSince("service", 100_000)).containsExactlyInAnyOrder("v1", "v2");
     }
 
+    /** Only then do entries have to look at what others have made of the history. */
+    @Test
+    void shouldTellWhetherSomeServiceHasOrHadSeveralVersions() {
+        Map<String, Set<String>> twoServices = Map.of("service", Set.of("v1"), "other", Set.of("v2"));
+        assertThat(SoftwareHistory.empty().observe(twoServices, 100).hasSeveralVersions())
+                .isFalse();
+        SoftwareHistory replaced = begun(100, "v1").observe(listed("v2"), 5000);
+        assertThat(replaced.hasSeveralVersions()).isTrue();
+        assertThat(replaced.observe(listed("v2"), 125_001).hasSeveralVersions()).isFalse();
+    }
+
     @Test
     void shouldForgetAVersionTwoMinutesAfterItsLastServerHasLeft() {
         SoftwareHistory history = begun(100, "v1").observe(listed("v2"), 5000);
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -15,9 +15,9 @@
 
 /**
  * Keeps the history of the versions of servers' software, here and in the store. The store's row is read and written
- * only when a version comes or goes, or when its content may have changed unseen. A version that the row has is ended
- * only by a list of servers that was read after the row: an earlier one may not have seen it yet. Used on one network
- * thread.
+ * when a version comes or goes, or when its content may have changed unseen; while a service has several versions, the
+ * entries read it again in turns. A version that the row has is ended only by a list of servers that was read after the
+ * row: an earlier one may not have seen it yet. Used on one network thread.
  */
 final class SoftwareWatch {
     /**
@@ -26,6 +26,12 @@
      */
     static final Duration USE_AFTER_END = Duration.ofSeconds(10);
 
+    /**
+     * How long the turn of one entry lasts to read the row again while a service has several versions. The end of a
+     * version that has returned is thus noticed within {@link #USE_AFTER_END}, also if one entry misses its turn.
+     */
+    static final Duration ROW_CHECK_TURN = Duration.ofSeconds(4);
+
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     /** All entries see a change at about the same time; one of them writes it, if the others look a little later. */
@@ -46,6 +52,9 @@
     /** The time of the store's clock at which the row was first known to have that content; empty before that. */
     private OptionalLong storedMillis = OptionalLong.empty();
 
+    /** When the row was read or written last. */
+    private long rowKnownMillis;
+
     private boolean syncing;
     private long nextSyncMillis;
     private boolean syncPlanned;
@@ -102,14 +111,20 @@
         }
     }
 
-    /** Looks at the list of servers, and brings the store's row up to date if a version has come or gone. */
-    void tick(StreamStore store) {
+    /**
+     * Looks at the list of servers, and brings the store's row up to date if a version has come or gone.
+     *
+     * @param ownTurn whether it is for this entry to find out what others have made of the row
+     */
+    void tick(StreamStore store, boolean ownTurn) {
         look();
         if (listed.isEmpty()) {
             return;
         }
         long nowMillis = clock.millis();
-        if (observed(stored).equals(stored) && !listed.hasUnrecorded()) {
+        boolean checkDue =
+                ownTurn && history.hasSeveralVersions() && nowMillis - rowKnownMillis >= ROW_CHECK_TURN.toMillis();
+        if (observed(stored).equals(stored) && !listed.hasUnrecorded() && !checkDue) {
             syncPlanned = false;
         } else if (!syncPlanned) {
             syncPlanned = true;
@@ -125,6 +140,7 @@
     void apply(StreamRecords records) {
         boolean older = records.historyVersion() > 0 && records.historyVersion() < storedVersion;
         if (!older) {
+            rowKnownMillis = clock.millis();
             if (storedMillis.isEmpty() || records.historyVersion() != storedVersion) {
                 storedMillis = OptionalLong.of(records.readMillis());
             }
@@ -173,6 +189,7 @@
         if (storedVersion == expectedVersion) {
             stored = next;
             storedVersion = written;
+            rowKnownMillis = clock.millis();
             listed.recordRow(stored.openVersions(), clock.millis());
         }
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecorder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecorder.java
@@ -68,8 +68,9 @@
 
     // -- queries
 
-    private boolean isOwnTurn(long nowMillis) {
-        int turn = (int) Math.floorMod(nowMillis / TURN.toMillis(), (long) hosts.size());
+    /** Returns whether it is this entry's turn, if each one lasts for a time. */
+    boolean isOwnTurn(Duration length) {
+        int turn = (int) Math.floorMod(clock.millis() / length.toMillis(), (long) hosts.size());
         return hosts.stream().skip(turn).findFirst().filter(host::equals).isPresent();
     }
 
@@ -101,7 +102,7 @@
             pending.poll();
         }
         boolean due = spentUntilMillis - nowMillis < CALL_INTERVAL.toMillis() * BURST_CALLS;
-        if (!pending.isEmpty() && !writing && due && isOwnTurn(nowMillis)) {
+        if (!pending.isEmpty() && !writing && due && isOwnTurn(TURN)) {
             spentUntilMillis = Math.max(spentUntilMillis, nowMillis) + CALL_INTERVAL.toMillis();
             write(store, nowMillis);
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -321,7 +321,7 @@
         if (store == null) {
             return;
         }
-        software.tick(store);
+        software.tick(store, recorder.isOwnTurn(SoftwareWatch.ROW_CHECK_TURN));
         if (!clock.isKnown()) {
             return;
         }
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
@@ -4,7 +4,7 @@
 
 /** What an answer rests on to the question at which version of its servers' software a stream was begun. */
 public enum TakeUpBasis {
-    /** The entry itself, or a peer that told it, sent the stream's request. */
+    /** The stream's first event came through the entry itself, or through a peer that told it. */
     MEMORY,
     /** A row of the store names the stream. */
     RECORD,
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumford.core.fleet.BackendServer;
@@ -170,6 +171,54 @@
         assertThat(other.softwareOf("id")).contains("v2");
     }
 
+    /** The entry that ended it in the history has ended itself, and the other one has not seen that it was missing. */
+    @Test
+    void shouldNotAnswerTheOnlyVersionAfterAVersionThatWasEndedHasReturnedUnnoticed() {
+        listed.put("server-2", "v2");
+        advance(20_000);
+        one.readsList = false;
+        listed.remove("server-1");
+        advance(2500);
+        assertThat(rows.history.openVersions().get("service")).containsExactly("v2");
+        other.readsList = false;
+        other.store.failing = true;
+        listed.put("server-1", "v1");
+        one.readsList = true;
+        advance(20_000);
+        assertThat(one.begin("v1")).isDone();
+        one.store.failing = true;
+        listed.remove("server-1");
+        Entry restarted = new Entry("restarted", 3);
+        restarted.tick();
+        assertThat(restarted.softwareOf("id")).isNotEqualTo(Optional.of("v2"));
+    }
+
+    /** An ended version counts for ten seconds more. */
+    @Test
+    void shouldOpenAVersionAgainThatWasEndedUnnoticedAlsoIfOneEntryMissesItsTurn() {
+        one.registry.updatePeers(List.of("other"));
+        other.registry.updatePeers(List.of("one"));
+        listed.put("server-2", "v2");
+        advance(20_000);
+        one.store.failing = true;
+        rows.history = rows.history.observe(Map.of("service", Set.of("v2")), nowMillis);
+        rows.historyVersion++;
+        advance(9000);
+        assertThat(rows.history.openVersions().get("service")).contains("v1");
+    }
+
+    /** Each call is billed; one entry in each turn of four seconds finds out whether the others' row has changed. */
+    @Test
+    void shouldReadTheHistoryOnceInATurnWhileAServiceHasSeveralVersions() {
+        one.registry.updatePeers(List.of("other"));
+        other.registry.updatePeers(List.of("one"));
+        listed.put("server-2", "v2");
+        advance(1000);
+        int before = rows.reads;
+        advance(40_000);
+        assertThat(rows.reads - before).isBetween(9, 11);
+    }
+
     /** Each call is billed. */
     @Test
     void shouldNotCallTheStoreWhileVersionsStayTheSame() {
