--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrder.java
@@ -24,7 +24,7 @@
 
     /**
      * The time after which an order is dropped so that a new one may be issued, counted from the start of the write of
-     * its intent.
+     * its intent, or from the last report that the engine is still carrying it out.
      */
     private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(6);
 
@@ -40,6 +40,10 @@
     private boolean issued;
     private boolean answered;
     private boolean ended;
+
+    /** When the write of the intent began, or when the engine last reported that it is carrying out the order. */
+    private long confirmedNanos;
+
     private long reportRequestedNanos;
 
     /**
@@ -66,6 +70,7 @@
         this.server = server;
         this.intent = intent;
         this.issueWindow = issueWindow;
+        this.confirmedNanos = issueWindow.startNanos();
         this.engines = engines;
         this.clock = clock;
         this.limits = limits;
@@ -85,7 +90,12 @@
     }
 
     boolean isFinished() {
-        return ended || sinceWrite().compareTo(ORDER_TIMEOUT) > 0;
+        return ended || clock.nanos() - confirmedNanos > ORDER_TIMEOUT.toNanos();
+    }
+
+    /** Returns the time since the write of the intent began. */
+    Duration sinceWrite() {
+        return Duration.ofNanos(clock.nanos() - issueWindow.startNanos());
     }
 
     // -- commands
@@ -107,6 +117,9 @@
     }
 
     private void applyReport(EngineReport report) {
+        if (answered && report.busy()) {
+            confirmedNanos = clock.nanos();
+        }
         if (!ended && !completeIfLoaded(report) && !report.busy() && !issued) {
             issue(report.sequence());
         }
@@ -171,10 +184,6 @@
         return permitted;
     }
 
-    private Duration sinceWrite() {
-        return Duration.ofNanos(clock.nanos() - issueWindow.startNanos());
-    }
-
     /** Completes the order if the weights are known to be loaded; otherwise requests a report when one is due. */
     void poll() {
         if (server.weightsVersion(intent.model()).orElse(0) >= intent.version()) {
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -56,6 +56,35 @@
         assertThat(engine.orders).isEqualTo(1);
     }
 
+    /**
+     * Guards against an order that is given up and recorded again as another one while its engine carries it out, so
+     * that its load time is not learned.
+     */
+    @Test
+    void shouldKeepTheOrderOfAnEngineThatDrainsForLong() {
+        listOutdatedEngine();
+        tickAfter(0);
+        tickAfter(0);
+        OrderIntent intent = leases.lastIntents().get(0);
+        for (int i = 0; i < 12; i++) {
+            tickAfter(1000);
+        }
+        assertThat(leases.lastIntents()).extracting(OrderIntent::key).containsExactly(intent.key());
+        assertThat(engine.orders).isEqualTo(1);
+    }
+
+    @Test
+    void shouldGiveUpTheOrderOfAnEngineThatNoLongerReportsIt() {
+        listOutdatedEngine();
+        tickAfter(0);
+        tickAfter(0);
+        engine.restarts();
+        for (int i = 0; i < 6; i++) {
+            tickAfter(1000);
+        }
+        assertThat(engine.orders).isEqualTo(2);
+    }
+
     /** Guards against a controller that waits for ever, because whoever handled the result of a call has failed. */
     @Test
     void shouldGoOnWhenACallOfTheStoreIsLost() {
@@ -175,16 +204,23 @@
     /** Accepts orders and never loads the weights. */
     private static final class DrainingEngine implements EngineAdmin {
         private int orders;
+        private boolean busy;
+
+        /** Loses the order that it is carrying out. */
+        void restarts() {
+            busy = false;
+        }
 
         @Override
         public CompletableFuture<EngineReport> report(BackendServer server) {
-            return CompletableFuture.completedFuture(new EngineReport(Map.of("model", 1), orders > 0, orders));
+            return CompletableFuture.completedFuture(new EngineReport(Map.of("model", 1), busy, orders));
         }
 
         @Override
         public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order, BooleanSupplier permission) {
             assertThat(permission.getAsBoolean()).isTrue();
             orders++;
+            busy = true;
             return CompletableFuture.completedFuture(true);
         }
     }
