--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -345,10 +345,12 @@
     private void writeIntents() {
         LeaseTerm term = known.nextTerm();
         long nowMillis = leaseStore.nowMillis();
-        List<OrderIntent> orders =
-                planner.planOrders(term, pendingOrders.servers(), pendingOrders.loadTime(), nowMillis);
+        boolean lastWriteLate = known.isOwn() && writes.isLastLate();
+        List<OrderIntent> orders = lastWriteLate
+                ? List.of()
+                : planner.planOrders(term, pendingOrders.servers(), pendingOrders.loadTime(), nowMillis);
         List<OrderIntent> completedIntents = pendingOrders.completedIntents();
-        boolean renewalDue = known.isOwn() && known.age().compareTo(RENEWAL_INTERVAL) > 0;
+        boolean renewalDue = lastWriteLate || (known.isOwn() && known.age().compareTo(RENEWAL_INTERVAL) > 0);
         if (completedIntents.isEmpty() && orders.isEmpty() && !renewalDue && !known.isRowToWrite()) {
             return;
         }
@@ -390,7 +392,7 @@
                 .with("fence", known.lease().term().fencingToken())
                 .with("orders", orders.size())
                 .info();
-        writes.recordResponse(orders.isEmpty() || issueWindow.isOpen(clock));
+        writes.recordResponse(issueWindow.isOpen(clock));
         orders.forEach(order -> pendingOrders.issue(order, issueWindow));
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/WriteOutcomes.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/WriteOutcomes.java
@@ -5,7 +5,7 @@
  * renewing the lease without ever sending an order, and has to leave it to others. Used on one network thread.
  */
 final class WriteOutcomes {
-    /** After how many writes in succession that were answered too late for their orders a holder gives up. */
+    /** After how many writes in succession that were answered too late for orders a holder gives up. */
     private static final int MAX_LATE = 2;
 
     /**
@@ -31,6 +31,14 @@
         return late >= MAX_LATE || failed >= MAX_FAILED;
     }
 
+    /**
+     * Returns whether the last write was answered too late for orders. Intents that are recorded in vain hold back the
+     * successor, so the next write tells first whether the store answers in time again.
+     */
+    boolean isLastLate() {
+        return late > 0;
+    }
+
     int late() {
         return late;
     }
@@ -46,7 +54,7 @@
         failed++;
     }
 
-    /** Records a write that was answered, and whether its orders may still be sent. */
+    /** Records a write that was answered, and whether orders in it may still be sent. */
     void recordResponse(boolean inTime) {
         failed = 0;
         late = inTime ? 0 : late + 1;
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -85,6 +85,24 @@
         assertThat(engine.orders).isEqualTo(2);
     }
 
+    /** Guards against intents that are recorded in vain and then hold back the successor of a slow holder. */
+    @Test
+    void shouldRecordNoOrderAfterAWriteThatWasAnsweredTooLateForOrders() {
+        listOutdatedEngine();
+        leases.writeMillis = 1200;
+        tickAfter(0);
+        tickAfter(0);
+        tickAfter(0);
+        tickAfter(0);
+        List<WeightsLease> written = leases.written;
+        assertThat(written).extracting(WeightsLease::released).containsExactly(false, false, true);
+        OrderIntent first = written.get(0).intents().get(0);
+        assertThat(written)
+                .flatExtracting(WeightsLease::intents)
+                .extracting(OrderIntent::key)
+                .containsOnly(first.key());
+    }
+
     /** Guards against a controller that waits for ever, because whoever handled the result of a call has failed. */
     @Test
     void shouldGoOnWhenACallOfTheStoreIsLost() {
@@ -166,7 +184,7 @@
 
     // -- stand-ins
 
-    private static final class RecordedLeases implements LeaseStore {
+    private final class RecordedLeases implements LeaseStore {
         private final List<WeightsLease> written = new ArrayList<>();
         private long nowMillis = 100_000;
         private final List<Long> expectedVersions = new ArrayList<>();
@@ -175,6 +193,9 @@
         private boolean losesReads;
         private boolean losesWrites;
 
+        /** How long a write takes to be answered; nothing else happens meanwhile. */
+        private long writeMillis;
+
         List<OrderIntent> lastIntents() {
             return written.get(written.size() - 1).intents();
         }
@@ -191,6 +212,7 @@
                 return CompletableFuture.completedFuture(OptionalLong.empty());
             }
             written.add(lease);
+            clock.advance(writeMillis);
             storeVersion = Math.max(storeVersion, row.version()) + 1;
             return CompletableFuture.completedFuture(OptionalLong.of(storeVersion));
         }
