--- a/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -3,16 +3,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.LeaseTerm;
+import org.geraniumford.core.weights.LoadEstimate;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.OrderKey;
 import org.geraniumford.core.weights.OrderProgress;
 import org.geraniumford.core.weights.RolloutCandidate;
 import org.geraniumford.core.weights.RolloutPlan;
 import org.geraniumford.daemon.gateway.GatewayState;
+import org.geraniumford.transport.log.LogEvent;
 
 /** Determines which servers have outdated weights and which of them are ordered next. Changes nothing. */
 final class OrderPlanner {
@@ -20,7 +23,7 @@
     private final GatewayState state;
     private final KnownLease known;
     private final LocalClock clock;
-    private final Duration maxStaleness;
+    private final RolloutTimes times;
 
     /**
      * Creates a planner.
@@ -29,14 +32,14 @@
      * @param state the servers and the published weights
      * @param known the lease, with the orders of other terms
      * @param clock the local clock
-     * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
+     * @param times the bounds that the rollout must keep
      */
-    OrderPlanner(String host, GatewayState state, KnownLease known, LocalClock clock, Duration maxStaleness) {
+    OrderPlanner(String host, GatewayState state, KnownLease known, LocalClock clock, RolloutTimes times) {
         this.host = host;
         this.state = state;
         this.known = known;
         this.clock = clock;
-        this.maxStaleness = maxStaleness;
+        this.times = times;
     }
 
     // -- queries
@@ -63,14 +66,15 @@
      *
      * @param term the term in which the orders will be issued
      * @param pendingServers the ids of the servers with an order of this host that has not ended
-     * @param loadTime how long one server takes to drain and load
+     * @param loadEstimate how long one server takes to drain and load
      * @param storeNowMillis the current time, in milliseconds on the store's clock
      */
-    List<OrderIntent> planOrders(LeaseTerm term, Set<String> pendingServers, Duration loadTime, long storeNowMillis) {
+    List<OrderIntent> planOrders(
+            LeaseTerm term, Set<String> pendingServers, LoadEstimate loadEstimate, long storeNowMillis) {
         return state.publishedWeights().entrySet().stream()
                 .flatMap(entry ->
                         planModelOrders(
-                                entry.getKey(), entry.getValue(), term, pendingServers, loadTime, storeNowMillis)
+                                entry.getKey(), entry.getValue(), term, pendingServers, loadEstimate, storeNowMillis)
                                 .stream())
                 .toList();
     }
@@ -84,7 +88,7 @@
             int version,
             LeaseTerm term,
             Set<String> pendingServers,
-            Duration loadTime,
+            LoadEstimate loadEstimate,
             long storeNowMillis) {
         List<ServerState> servers = modelServers(model);
         List<ServerState> candidates = servers.stream()
@@ -102,7 +106,12 @@
                 .toList();
         List<RolloutCandidate> outdated =
                 candidates.stream().map(server -> candidate(server, model)).toList();
-        return RolloutPlan.selectServers(outdated, loadingDomains, servers.size(), loadTime).stream()
+        List<RolloutCandidate> chosen =
+                RolloutPlan.selectServers(outdated, loadingDomains, servers.size(), loadEstimate);
+        if (!chosen.isEmpty()) {
+            logPlan(model, version, servers.size(), loadingDomains.size(), chosen, loadEstimate);
+        }
+        return chosen.stream()
                 .map(candidate -> new OrderIntent(
                         new OrderKey(candidate.server(), term.fencingToken(), known.nextOrderVersion()),
                         model,
@@ -113,6 +122,30 @@
                 .toList();
     }
 
+    private static void logPlan(
+            String model,
+            int version,
+            int serverCount,
+            int loadingCount,
+            List<RolloutCandidate> chosen,
+            LoadEstimate loadEstimate) {
+        LogEvent.of("rollout_planned")
+                .with("model", model)
+                .with("version", version)
+                .with("servers", serverCount)
+                .with("loading", loadingCount)
+                .with("ordered", chosen.size())
+                .with("time_left_ms", leastMillis(chosen, RolloutCandidate::timeLeft))
+                .with("completion_left_ms", leastMillis(chosen, RolloutCandidate::completionTimeLeft))
+                .with("load_ms", loadEstimate.atLeast().toMillis())
+                .with("expected_load_ms", loadEstimate.expected().toMillis())
+                .info();
+    }
+
+    private static long leastMillis(List<RolloutCandidate> chosen, Function<RolloutCandidate, Duration> timeLeft) {
+        return chosen.stream().map(timeLeft).mapToLong(Duration::toMillis).min().orElse(0);
+    }
+
     private RolloutCandidate candidate(ServerState server, String model) {
         int loadedVersion = server.weightsVersion(model).orElse(0);
         return new RolloutCandidate(
@@ -120,7 +153,8 @@
                 server.server().failureDomain(),
                 loadedVersion,
                 server.totalLoad().running(),
-                state.weightsTimeLeft(model, loadedVersion, maxStaleness));
+                state.weightsTimeLeft(model, loadedVersion, times.maxStaleness()),
+                state.weightsTimeLeft(model, loadedVersion, times.maxCompletionTime()));
     }
 
     private static boolean isOutdated(ServerState server, String model, int version) {
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -9,6 +9,8 @@
 import java.util.function.LongPredicate;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
+import org.geraniumford.core.weights.LoadEstimate;
+import org.geraniumford.core.weights.LoadTimes;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.daemon.gateway.GatewayState;
 
@@ -17,9 +19,6 @@
     /** The time that a server is assumed to take to drain and load until one has done so. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
 
-    /** The weight of the newest order in the moving average of the time to drain and load, from 0 to 1. */
-    private static final double LOAD_TIME_SMOOTHING = 0.2;
-
     private final GatewayState state;
     private final EngineAdmin engines;
     private final LocalClock clock;
@@ -28,8 +27,8 @@
     private final List<OrderIntent> completedIntents = new ArrayList<>();
     private final UnansweredServers unanswered = UnansweredServers.none();
 
-    /** A moving average of the time from the intent of an order to its completion. */
-    private double loadTimeMillis = INITIAL_LOAD_TIME.toMillis();
+    /** The times from the intents of orders to their completion. */
+    private LoadTimes loadTimes = LoadTimes.of(INITIAL_LOAD_TIME);
 
     /**
      * Creates an empty set of orders.
@@ -66,9 +65,11 @@
                 .toList();
     }
 
-    /** Returns how long one server takes to drain and load, a moving average. */
-    Duration loadTime() {
-        return Duration.ofMillis(Math.round(loadTimeMillis));
+    /** Estimates how long one server takes to drain and load. */
+    LoadEstimate loadEstimate() {
+        List<Duration> pendingTimes =
+                orders.values().stream().map(PendingOrder::sinceWrite).toList();
+        return loadTimes.estimate(pendingTimes);
     }
 
     /** Returns whether this process reaches no engine, as far as its orders tell. */
@@ -106,8 +107,7 @@
     @Override
     public void loaded(OrderIntent intent, Duration elapsed) {
         completedIntents.add(intent);
-        long elapsedMillis = elapsed.toMillis();
-        loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
+        loadTimes = loadTimes.with(elapsed);
     }
 
     /** Drops the orders that have ended and polls the others. */
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -56,7 +56,7 @@
                 state,
                 new NoLeases(),
                 new NoEngines(),
-                new RolloutTimes(Duration.ofSeconds(1), Duration.ofSeconds(8)),
+                new RolloutTimes(Duration.ofSeconds(1), Duration.ofSeconds(8), Duration.ZERO),
                 LocalClock.system(),
                 new Random(1));
     }
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
@@ -41,7 +41,7 @@
                     state,
                     row,
                     engine,
-                    new RolloutTimes(Duration.ofSeconds(3), Duration.ofSeconds(6)),
+                    new RolloutTimes(Duration.ofSeconds(3), Duration.ofSeconds(6), Duration.ZERO),
                     clock,
                     new Random());
             state.directory()
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
@@ -171,7 +171,7 @@
                     state,
                     store,
                     engine,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8)),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8), Duration.ZERO),
                     clock,
                     new Random(1));
             for (String server : servers) {
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
@@ -31,6 +31,7 @@
     private static final long HANDOVER_MILLIS = 3000;
     private static final long STORE_CALL_MILLIS = 20;
     private static final Duration USABLE_STALENESS = Duration.ofSeconds(6);
+    private static final Duration COMPLETION_TIME = Duration.ofSeconds(11);
     private static final long START_MILLIS = 1_000_000;
 
     private final VirtualClock clock = new VirtualClock();
@@ -146,7 +147,7 @@
                     state,
                     this,
                     this,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), USABLE_STALENESS),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), USABLE_STALENESS, COMPLETION_TIME),
                     clock,
                     random);
             engines.forEach(engine -> state.directory().register(engine.listed()));
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -57,7 +57,7 @@
                     state,
                     new DelayedStore(row, clockBehindMillis),
                     engine,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8)),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8), Duration.ZERO),
                     clock,
                     new Random());
             state.directory()
