--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -30,7 +30,13 @@
     private final RecordedLeases leases = new RecordedLeases();
     private final DrainingEngine engine = new DrainingEngine();
     private final RolloutController controller = RolloutController.of(
-            "host", state, leases, engine, new RolloutTimes(Duration.ZERO, Duration.ofSeconds(8)), clock, () -> 0L);
+            "host",
+            state,
+            leases,
+            engine,
+            new RolloutTimes(Duration.ZERO, Duration.ofSeconds(8), Duration.ZERO),
+            clock,
+            () -> 0L);
 
     /**
      * Guards against requests to an engine that drains for longer than the order's intent is valid: it looks idle to
@@ -57,6 +63,53 @@
         assertThat(engine.orders).isEqualTo(1);
     }
 
+    /**
+     * Guards against an order that is given up and recorded again as another one while its engine carries it out, so
+     * that its load time is not learned.
+     */
+    @Test
+    void shouldKeepTheOrderOfAnEngineThatDrainsForLong() {
+        listOutdatedEngine();
+        tickAfter(0);
+        tickAfter(0);
+        OrderIntent intent = leases.lastIntents().get(0);
+        for (int i = 0; i < 12; i++) {
+            tickAfter(1000);
+        }
+        assertThat(leases.lastIntents()).extracting(OrderIntent::key).containsExactly(intent.key());
+        assertThat(engine.orders).isEqualTo(1);
+    }
+
+    @Test
+    void shouldGiveUpTheOrderOfAnEngineThatNoLongerReportsIt() {
+        listOutdatedEngine();
+        tickAfter(0);
+        tickAfter(0);
+        engine.restarts();
+        for (int i = 0; i < 6; i++) {
+            tickAfter(1000);
+        }
+        assertThat(engine.orders).isEqualTo(2);
+    }
+
+    /** Guards against intents that are recorded in vain and then hold back the successor of a slow holder. */
+    @Test
+    void shouldRecordNoOrderAfterAWriteThatWasAnsweredTooLateForOrders() {
+        listOutdatedEngine();
+        leases.writeMillis = 1200;
+        tickAfter(0);
+        tickAfter(0);
+        tickAfter(0);
+        tickAfter(0);
+        List<WeightsLease> written = leases.written;
+        assertThat(written).extracting(WeightsLease::released).containsExactly(false, false, true);
+        OrderIntent first = written.get(0).intents().get(0);
+        assertThat(written)
+                .flatExtracting(WeightsLease::intents)
+                .extracting(OrderIntent::key)
+                .containsOnly(first.key());
+    }
+
     /** Guards against a controller that waits for ever, because whoever handled the result of a call has failed. */
     @Test
     void shouldGoOnWhenACallOfTheStoreIsLost() {
@@ -138,7 +191,7 @@
 
     // -- stand-ins
 
-    private static final class RecordedLeases implements LeaseStore {
+    private final class RecordedLeases implements LeaseStore {
         private final List<WeightsLease> written = new ArrayList<>();
         private long nowMillis = 100_000;
         private final List<Long> expectedVersions = new ArrayList<>();
@@ -147,6 +200,9 @@
         private boolean losesReads;
         private boolean losesWrites;
 
+        /** How long a write takes to be answered; nothing else happens meanwhile. */
+        private long writeMillis;
+
         List<OrderIntent> lastIntents() {
             return written.get(written.size() - 1).intents();
         }
@@ -163,6 +219,7 @@
                 return CompletableFuture.completedFuture(OptionalLong.empty());
             }
             written.add(lease);
+            clock.advance(writeMillis);
             storeVersion = Math.max(storeVersion, row.version()) + 1;
             return CompletableFuture.completedFuture(OptionalLong.of(storeVersion));
         }
@@ -176,16 +233,23 @@
     /** Accepts orders and never loads the weights. */
     private static final class DrainingEngine implements EngineAdmin {
         private int orders;
+        private boolean busy;
+
+        /** Loses the order that it is carrying out. */
+        void restarts() {
+            busy = false;
+        }
 
         @Override
         public CompletableFuture<EngineReport> report(BackendServer server) {
-            return CompletableFuture.completedFuture(new EngineReport(Map.of("model", 1), orders > 0, orders));
+            return CompletableFuture.completedFuture(new EngineReport(Map.of("model", 1), busy, orders));
         }
 
         @Override
         public CompletableFuture<Boolean> order(BackendServer server, WeightsOrder order, BooleanSupplier permission) {
             assertThat(permission.getAsBoolean()).isTrue();
             orders++;
+            busy = true;
             return CompletableFuture.completedFuture(true);
         }
     }
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -56,7 +56,7 @@
                     state,
                     new DelayedStore(row, clockBehindMillis),
                     engine,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8)),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8), Duration.ZERO),
                     clock,
                     new Random());
             list(ENGINE, "10.0.0.1:80");
