--- a/transport/src/main/java/org/geraniumford/transport/link/Link.java
+++ b/transport/src/main/java/org/geraniumford/transport/link/Link.java
@@ -1,7 +1,9 @@
 package org.geraniumford.transport.link;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumford.core.wire.Envelope;
 import org.geraniumford.core.wire.Message;
@@ -16,6 +18,11 @@
     private final Channel channel;
     private final LinkIdentity identity;
     private final AtomicLong sequence = new AtomicLong();
+
+    /** The messages that are neither in the socket nor dropped; until then, handlers of the channel may hold them. */
+    private final AtomicInteger unwrittenMessages = new AtomicInteger();
+
+    private final ChannelFutureListener messageWritten = written -> unwrittenMessages.decrementAndGet();
     private volatile long lastReceivedNanos = System.nanoTime();
 
     Link(Channel channel, LinkIdentity identity) {
@@ -36,7 +43,7 @@
         if (!ensureWritable()) {
             return false;
         }
-        channel.writeAndFlush(new Envelope(
+        write(new Envelope(
                 identity.incarnation(),
                 sequence.incrementAndGet(),
                 identity.configurationVersion().getAsLong(),
@@ -55,7 +62,7 @@
             return false;
         }
         try {
-            channel.writeAndFlush(FrameCodec.encode(
+            write(FrameCodec.encode(
                     identity.incarnation(),
                     sequence.incrementAndGet(),
                     identity.configurationVersion().getAsLong(),
@@ -67,6 +74,11 @@
         }
     }
 
+    private void write(Object message) {
+        unwrittenMessages.incrementAndGet();
+        channel.writeAndFlush(message).addListener(messageWritten);
+    }
+
     /** Returns whether a message can be sent. Closes the connection of a peer that reads too slowly. */
     private boolean ensureWritable() {
         if (!channel.isActive() || channel.unsafe().outboundBuffer() == null) {
@@ -131,10 +143,10 @@
     /**
      * Returns whether all sent messages have left this process.
      *
-     * @return true if no bytes are unsent, also once the connection has ended
+     * @return true if each is in the socket, or was dropped because the connection has ended
      */
     public boolean isFlushed() {
-        return unsentBytes() == 0;
+        return unwrittenMessages.get() == 0;
     }
 
     /**
