--- a/daemon/src/test/java/org/geraniumford/daemon/sidecar/SidecarDaemonTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/sidecar/SidecarDaemonTest.java
@@ -134,7 +134,8 @@
 
     @Test
     void shouldFinishStreamsAndRefuseNewWorkWhenDrained() {
-        client.send(submit("r1", 50, 100));
+        // The stream waits for credit, so that the sidecar is still draining when the second request arrives.
+        client.send(submit("r1", 50, 10));
         client.next(Message.Started.class);
         var drained = sidecar.drain();
         client.next(Message.SidecarState.class, Message.SidecarState::leaving);
@@ -142,6 +143,8 @@
         Message.Refused refused = client.next(Message.Refused.class, message -> true);
         assertThat(refused.refusal().reason()).isEqualTo(Reason.LEAVING);
         assertThat(refused.refusal().verdict()).isEqualTo(Verdict.NOT_RUN);
+        assertThat(drained).isNotDone();
+        client.send(new Message.Credit(new AttemptId("r1", 1), 50));
         assertThat(client.next(Message.End.class).offset()).isEqualTo(50);
         drained.join();
         assertThat(engine.executions()).containsOnlyKeys("r1.1");
