--- a/core/src/main/java/org/geraniumford/core/idempotency/ClaimMachine.java
+++ b/core/src/main/java/org/geraniumford/core/idempotency/ClaimMachine.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumford.core.idempotency.ClaimProgress.Stage;
 import org.geraniumford.core.store.StoreRequest;
 import org.geraniumford.core.store.StoreResponse;
 import org.geraniumford.core.store.TableOperation;
@@ -36,11 +37,11 @@
     private static final long BASE_RECORD_BACKOFF_MICROS = 100_000;
 
     private final Request request;
-    private final State state;
+    private final ClaimProgress progress;
 
-    private ClaimMachine(Request request, State state) {
+    private ClaimMachine(Request request, ClaimProgress progress) {
         this.request = request;
-        this.state = state;
+        this.progress = progress;
     }
 
     /**
@@ -62,6 +63,12 @@
                 throw new IllegalArgumentException("hosts is empty");
             }
         }
+
+        /** Returns the claim of an attempt, numbered from 1; the attempts go through the hosts in turn. */
+        private Claim claim(int attempt, long nowMicros) {
+            String host = hosts.get((attempt - 1) % hosts.size());
+            return Claim.open(digest, tokenPrefix + "/" + attempt, nowMicros, host);
+        }
     }
 
     /**
@@ -77,48 +84,6 @@
         }
     }
 
-    private enum Stage {
-        WRITING_CLAIM,
-        READING_BACK,
-        CALLING,
-        CLOSING_OWN_TOKEN,
-        CLOSING_OTHER_TOKEN,
-        READING_OTHER_CLAIM,
-        RECORDING_RESPONSE,
-        ENDED
-    }
-
-    /**
-     * The progress of a call.
-     *
-     * @param stage the stage, which determines how the next event is handled
-     * @param claim the claim of the current attempt
-     * @param version the version of the claim's row; until the claim is written, the version that the write expects, or
-     *     0 if the row must not exist
-     * @param attempt the number of the current attempt, from 1
-     * @param writeRetries the number of retries of writing the claim, over all attempts, and then of recording the
-     *     response
-     * @param failure the refusal that ended the current attempt, if the attempt may have run
-     */
-    private record State(
-            Stage stage, Claim claim, long version, int attempt, int writeRetries, Optional<Refusal> failure) {
-        State withStage(Stage next) {
-            return new State(next, claim, version, attempt, writeRetries, failure);
-        }
-
-        State withVersion(long rowVersion) {
-            return new State(stage, claim, rowVersion, attempt, writeRetries, failure);
-        }
-
-        State withNextWriteRetry() {
-            return new State(stage, claim, version, attempt, writeRetries + 1, failure);
-        }
-
-        State withFailure(Refusal refusal) {
-            return new State(stage, claim, version, attempt, writeRetries, Optional.of(refusal));
-        }
-    }
-
     // -- construction
 
     /**
@@ -130,15 +95,10 @@
      */
     public static Step start(Request request, long nowMicros) {
         requireNonNull(request, "request is null");
-        State first = new State(Stage.WRITING_CLAIM, createClaim(request, 1, nowMicros), 0, 1, 0, Optional.empty());
+        ClaimProgress first = ClaimProgress.first(request.claim(1, nowMicros));
         return new ClaimMachine(request, first).writeClaim(first);
     }
 
-    private static Claim createClaim(Request request, int attempt, long nowMicros) {
-        String host = request.hosts().get((attempt - 1) % request.hosts().size());
-        return Claim.open(request.digest(), request.tokenPrefix() + "/" + attempt, nowMicros, host);
-    }
-
     // -- queries
 
     /**
@@ -147,7 +107,7 @@
      * @return true once the caller has a response or refusal and no actions follow those already returned
      */
     public boolean isEnded() {
-        return state.stage() == Stage.ENDED;
+        return progress.stage() == Stage.ENDED;
     }
 
     /**
@@ -158,7 +118,7 @@
      * @return the next state and its actions
      */
     public Step apply(ClaimEvent event, long nowMicros) {
-        return switch (state.stage()) {
+        return switch (progress.stage()) {
             case WRITING_CLAIM -> handleClaimWritten(((ClaimEvent.StoreResponseReceived) event).response());
             case READING_BACK -> handleClaimRead(((ClaimEvent.StoreResponseReceived) event).response());
             case CALLING -> handleCallResult(event, nowMicros);
@@ -166,13 +126,13 @@
             case CLOSING_OTHER_TOKEN -> handleOtherTokenClosed(event);
             case READING_OTHER_CLAIM -> handleOtherClaimRead(((ClaimEvent.StoreResponseReceived) event).response());
             case RECORDING_RESPONSE -> handleResponseRecorded(((ClaimEvent.StoreResponseReceived) event).response());
-            case ENDED -> step(state);
+            case ENDED -> step(progress);
         };
     }
 
     // -- writing the claim
 
-    private Step writeClaim(State next) {
+    private Step writeClaim(ClaimProgress next) {
         return sendStoreRequest(
                 next.withStage(Stage.WRITING_CLAIM),
                 new StoreRequest.Transact(List.of(TableOperation.replace(
@@ -208,14 +168,14 @@
      * does not exist or still has the expected version, the claim was not written, and the write is retried.
      */
     private Step resolveRow(long version, Optional<String> value) {
-        if (state.writeRetries() >= MAX_CLAIM_WRITE_RETRIES) {
+        if (progress.writeRetries() >= MAX_CLAIM_WRITE_RETRIES) {
             return refuse(inProgress("the claim changes too often"));
-        } else if (value.isEmpty() || version == state.version()) {
-            return writeClaim(state.withVersion(version).withNextWriteRetry());
+        } else if (value.isEmpty() || version == progress.version()) {
+            return writeClaim(progress.withVersion(version).withNextWriteRetry());
         }
         Optional<Claim> currentClaim = value.flatMap(Claim::decode);
         return currentClaim
-                .map(claim -> claim.token().equals(state.claim().token())
+                .map(claim -> claim.token().equals(progress.claim().token())
                         ? sendCall(version)
                         : resolveOtherClaim(claim, version))
                 .orElseGet(() -> refuse(inProgress("the claim cannot be read")));
@@ -228,23 +188,23 @@
             return replay(other);
         }
         return step(
-                state.withVersion(version).withStage(Stage.CLOSING_OTHER_TOKEN),
+                progress.withVersion(version).withStage(Stage.CLOSING_OTHER_TOKEN),
                 new ClaimAction.CloseToken(other.host(), other.token(), other.issuedMicros()));
     }
 
     private Step handleOtherTokenClosed(ClaimEvent event) {
         return isTokenClosed(event)
-                ? writeClaim(state.withNextWriteRetry())
+                ? writeClaim(progress.withNextWriteRetry())
                 : refuse(inProgress("another attempt with this idempotency key may have run"));
     }
 
     // -- the call
 
     private Step sendCall(long version) {
-        Claim claim = state.claim();
+        Claim claim = progress.claim();
         return step(
-                state.withVersion(version).withStage(Stage.CALLING),
-                new ClaimAction.SendCall(claim.host(), state.attempt(), claim.token(), claim.issuedMicros()));
+                progress.withVersion(version).withStage(Stage.CALLING),
+                new ClaimAction.SendCall(claim.host(), progress.attempt(), claim.token(), claim.issuedMicros()));
     }
 
     private Step handleCallResult(ClaimEvent event, long nowMicros) {
@@ -258,14 +218,14 @@
         } else if (refusal.verdict() == Verdict.NOT_RUN) {
             return retryCall(refusal, nowMicros);
         }
-        Claim claim = state.claim();
+        Claim claim = progress.claim();
         return step(
-                state.withFailure(refusal).withStage(Stage.CLOSING_OWN_TOKEN),
+                progress.withFailure(refusal).withStage(Stage.CLOSING_OWN_TOKEN),
                 new ClaimAction.CloseToken(claim.host(), claim.token(), claim.issuedMicros()));
     }
 
     private Step handleOwnTokenClosed(ClaimEvent event, long nowMicros) {
-        Refusal refusal = state.failure().orElseThrow();
+        Refusal refusal = progress.failure().orElseThrow();
         return isTokenClosed(event)
                 ? retryCall(refusal.withVerdict(Verdict.NOT_RUN), nowMicros)
                 : refuse(refusal.withVerdict(Verdict.MAY_HAVE_RUN));
@@ -273,25 +233,19 @@
 
     /** Starts another attempt after one that is known not to have run. */
     private Step retryCall(Refusal refusal, long nowMicros) {
-        int attempt = state.attempt() + 1;
+        int attempt = progress.attempt() + 1;
         if (attempt > MAX_ATTEMPTS) {
             return releaseClaim(refusal);
         }
-        return writeClaim(new State(
-                Stage.WRITING_CLAIM,
-                createClaim(request, attempt, nowMicros),
-                state.version(),
-                attempt,
-                state.writeRetries(),
-                Optional.empty()));
+        return writeClaim(progress.withNextAttempt(request.claim(attempt, nowMicros)));
     }
 
     /** Refuses the call and deletes the claim, so that the next call with this key finds no claim. */
     private Step releaseClaim(Refusal refusal) {
-        StoreRequest delete =
-                new StoreRequest.Transact(List.of(TableOperation.delete(Claim.TABLE, request.row(), state.version())));
+        StoreRequest delete = new StoreRequest.Transact(
+                List.of(TableOperation.delete(Claim.TABLE, request.row(), progress.version())));
         return step(
-                state.withStage(Stage.ENDED),
+                progress.withStage(Stage.ENDED),
                 new ClaimAction.Refuse(refusal),
                 new ClaimAction.SendStoreRequest(delete, 0));
     }
@@ -310,43 +264,39 @@
     // -- the response
 
     private Step respond(CallResponse response) {
-        State recording = new State(
-                Stage.RECORDING_RESPONSE,
-                state.claim().withResponse(response),
-                state.version(),
-                state.attempt(),
-                0,
-                Optional.empty());
+        ClaimProgress recording = progress.withResponse(response);
         return step(recording, new ClaimAction.Respond(response), recordAction(recording, 0));
     }
 
     private Step handleResponseRecorded(StoreResponse response) {
         if (response instanceof StoreResponse.Failed) {
-            return retryRecord(state);
+            return retryRecord(progress);
         }
         TransactionResult result = ((StoreResponse.Transaction) response).result();
         return result instanceof TransactionResult.Conflicted conflicted
                 ? handleRecordConflict(conflicted.conflicts().get(0))
-                : step(state.withStage(Stage.ENDED));
+                : step(progress.withStage(Stage.ENDED));
     }
 
     private Step handleRecordConflict(TransactionResult.Conflict conflict) {
         boolean isOwnClaimOpen = conflict.value()
                 .flatMap(Claim::decode)
-                .filter(claim -> claim.token().equals(state.claim().token()))
+                .filter(claim -> claim.token().equals(progress.claim().token()))
                 .filter(claim -> claim.outcome() == Claim.Outcome.OPEN)
                 .isPresent();
-        return isOwnClaimOpen ? retryRecord(state.withVersion(conflict.version())) : step(state.withStage(Stage.ENDED));
+        return isOwnClaimOpen
+                ? retryRecord(progress.withVersion(conflict.version()))
+                : step(progress.withStage(Stage.ENDED));
     }
 
-    private Step retryRecord(State next) {
-        int attempts = state.writeRetries() + 1;
+    private Step retryRecord(ClaimProgress next) {
+        int attempts = progress.writeRetries() + 1;
         return attempts < MAX_RECORD_ATTEMPTS
                 ? step(next.withNextWriteRetry(), recordAction(next, BASE_RECORD_BACKOFF_MICROS << attempts))
                 : step(next.withStage(Stage.ENDED));
     }
 
-    private ClaimAction recordAction(State recording, long delayMicros) {
+    private ClaimAction recordAction(ClaimProgress recording, long delayMicros) {
         return new ClaimAction.SendStoreRequest(
                 new StoreRequest.Transact(List.of(TableOperation.replace(
                         Claim.TABLE,
@@ -358,7 +308,7 @@
 
     private Step replay(Claim done) {
         return done.response()
-                .map(response -> step(state.withStage(Stage.ENDED), new ClaimAction.Respond(response)))
+                .map(response -> step(progress.withStage(Stage.ENDED), new ClaimAction.Respond(response)))
                 .orElseGet(() -> refuse(Refusal.of(
                         Reason.TOKEN_USED, Verdict.RAN, "the call ran, and its answer was too large to keep")));
     }
@@ -380,18 +330,18 @@
     }
 
     private Step refuse(Refusal refusal) {
-        return step(state.withStage(Stage.ENDED), new ClaimAction.Refuse(refusal));
+        return step(progress.withStage(Stage.ENDED), new ClaimAction.Refuse(refusal));
     }
 
     private Step readClaim(Stage stage) {
-        return sendStoreRequest(state.withStage(stage), new StoreRequest.ReadRow(Claim.TABLE, request.row()));
+        return sendStoreRequest(progress.withStage(stage), new StoreRequest.ReadRow(Claim.TABLE, request.row()));
     }
 
-    private Step sendStoreRequest(State next, StoreRequest storeRequest) {
+    private Step sendStoreRequest(ClaimProgress next, StoreRequest storeRequest) {
         return step(next, new ClaimAction.SendStoreRequest(storeRequest, 0));
     }
 
-    private Step step(State next, ClaimAction... actions) {
+    private Step step(ClaimProgress next, ClaimAction... actions) {
         return new Step(new ClaimMachine(request, next), List.of(actions));
     }
 }
