--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -6,9 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -32,7 +30,6 @@
 import org.geraniumford.transport.link.LinkListener;
 import org.geraniumford.transport.link.LinkMemory;
 import org.geraniumford.transport.link.LinkNetwork;
-import org.geraniumford.transport.log.LogEvent;
 import org.geraniumford.transport.worker.Guarded;
 
 /**
@@ -41,9 +38,6 @@
  * entries whose requests the store rejects. Runs on one network thread.
  */
 public final class GossipExchange implements LinkHandler {
-    /** A peer that was silent for this long is not counted as alive, and its load is dropped. */
-    private static final Duration PEER_TIMEOUT = Duration.ofSeconds(2);
-
     /** The longest time between two messages to a peer. */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(450);
 
@@ -59,9 +53,6 @@
     /** Added load is announced after this delay, together with what is added meanwhile. */
     private static final Duration LOAD_GOSSIP_DELAY = Duration.ofMillis(10);
 
-    /** How often the number of peers and the bytes sent to them are logged. */
-    private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
-
     private static final long MICROS_PER_MILLI = 1000;
 
     private final GatewayState state;
@@ -75,7 +66,8 @@
     private final PeerConnectors connectors;
     private final PeerLinks links;
     private final AnnouncedLoads announcedLoads = AnnouncedLoads.empty();
-    private final Map<String, Long> lastSeenNanos = new HashMap<>();
+    private final HeardPeers heard = HeardPeers.empty();
+    private final GossipReport report = GossipReport.startingAt(System.nanoTime());
     private final SentLeases sentLeases = SentLeases.empty();
     private boolean gossipScheduled;
 
@@ -94,8 +86,6 @@
     private volatile int heardPeers;
 
     private volatile int linkCount;
-    private long lastReportNanos = System.nanoTime();
-    private long reportedBytes;
 
     private GossipExchange(
             String host,
@@ -243,15 +233,16 @@
         announcedSinceTick = false;
         links.closeSilent(nowNanos);
         connectors.connectIfDue(nowNanos);
-        removeSilentPeers(nowNanos);
-        state.updateAlivePeers(lastSeenNanos.keySet());
-        quarantine.updatePeers(lastSeenNanos.keySet());
-        state.streams().updatePeers(lastSeenNanos.keySet());
-        state.directory().updateEntryShare(connectors.entryShare(lastSeenNanos.size(), nowNanos));
+        // The load of a silent peer is dropped.
+        heard.removeSilent(nowNanos).forEach(state.directory()::removePeer);
+        state.updateAlivePeers(heard.names());
+        quarantine.updatePeers(heard.names());
+        state.streams().updatePeers(heard.names());
+        state.directory().updateEntryShare(connectors.entryShare(heard.count(), nowNanos));
         state.customerLimits().accounts().updateEntries(connectors.listedEntries(nowNanos), nowNanos);
-        heardPeers = lastSeenNanos.size();
+        heardPeers = heard.count();
         linkCount = links.count();
-        reportIfDue(nowNanos);
+        report.logIfDue(heardPeers, linkCount, network.sentBytes(), nowNanos);
     }
 
     private boolean hasChanges() {
@@ -323,32 +314,6 @@
                 state.customerLimits().accounts().announce(customers, announcedNanos));
     }
 
-    /** Logs what the peers cost, so that late or lost gossip can be told from other causes of a bad choice. */
-    private void reportIfDue(long nowNanos) {
-        if (nowNanos - lastReportNanos < REPORT_INTERVAL.toNanos()) {
-            return;
-        }
-        lastReportNanos = nowNanos;
-        LogEvent.of("gossip")
-                .with("peers", lastSeenNanos.size())
-                .with("links", links.count())
-                .with("sent_bytes", network.sentBytes() - reportedBytes)
-                .info();
-        reportedBytes = network.sentBytes();
-    }
-
-    private void removeSilentPeers(long nowNanos) {
-        List<String> silentPeers = lastSeenNanos.entrySet().stream()
-                .filter(entry -> nowNanos - entry.getValue() > PEER_TIMEOUT.toNanos())
-                .map(Map.Entry::getKey)
-                .toList();
-        silentPeers.forEach(peer -> {
-            LogEvent.of("peer_silent").with("peer", peer).info();
-            lastSeenNanos.remove(peer);
-            state.directory().removePeer(peer);
-        });
-    }
-
     // -- events
 
     @Override
@@ -385,9 +350,7 @@
     }
 
     private void applyGossip(String peer, long incarnation, Message.Gossip gossip) {
-        if (lastSeenNanos.put(peer, System.nanoTime()) == null) {
-            LogEvent.of("peer_heard").with("peer", peer).info();
-        }
+        heard.recordHeard(peer, System.nanoTime());
         receiver.apply(peer, incarnation, gossip);
     }
 
