--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -25,9 +25,6 @@
     /** How often a holder writes the row while servers are outdated. */
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(900);
 
-    /** The upper bound of the random delay before an entry takes over the lease, so that one of them writes first. */
-    private static final Duration MAX_TAKEOVER_JITTER = Duration.ofMillis(600);
-
     /** How long a server is avoided after an order if nothing newer is known about it. */
     private static final Duration ESTIMATED_LOADING_TIME = Duration.ofSeconds(5);
 
@@ -57,7 +54,7 @@
     private final OrderPlanner planner;
     private final PendingOrders pendingOrders;
     private final HeldBackServers heldBackServers;
-    private final RandomGenerator random;
+    private final TakeoverDelay takeoverDelay;
 
     /** Whether the row was read after this process last decided to take over the lease. */
     private boolean rowRead;
@@ -79,11 +76,6 @@
 
     private boolean stopped;
 
-    /** When this process may take over the lease, from {@link LocalClock#nanos}, if a takeover is pending. */
-    private long takeoverNanos;
-
-    private boolean takeoverPending;
-
     /**
      * When the last write of the row began, from {@link LocalClock#nanos}. After a failed read or write, a time later
      * by {@link #WRITE_BACKOFF}, which delays the next read or write.
@@ -102,7 +94,7 @@
         this.state = state;
         this.leaseStore = leaseStore;
         this.clock = clock;
-        this.random = random;
+        this.takeoverDelay = TakeoverDelay.of(random);
         OrderSpacing orderSpacing = new OrderSpacing(
                 PendingOrder.ISSUE_WINDOW.plus(EngineAdmin.DELIVERY_TIME),
                 times.leaseHandoverDelay().plus(SPACING_MARGIN));
@@ -252,7 +244,7 @@
         boolean mustHoldLease = planner.hasOutdatedServers() || known.isRowToWrite();
         boolean hasCompletedIntents = !pendingOrders.completedIntents().isEmpty();
         if (!mustHoldLease) {
-            takeoverPending = false;
+            takeoverDelay.cancel();
         }
         if (storeCallPending || clock.nanos() - lastWriteNanos < WRITE_INTERVAL.toNanos()) {
             return;
@@ -272,7 +264,7 @@
         if (known.isOwn()) {
             hold();
         } else if (known.isFresh() && isHolderAlive()) {
-            takeoverPending = false;
+            takeoverDelay.cancel();
         } else {
             takeOver();
         }
@@ -289,12 +281,11 @@
     }
 
     private void takeOver() {
-        if (!takeoverPending) {
-            takeoverPending = true;
+        if (!takeoverDelay.isPending()) {
+            takeoverDelay.begin(clock.nanos());
             rowRead = false;
-            takeoverNanos = clock.nanos() + (long) (MAX_TAKEOVER_JITTER.toNanos() * random.nextDouble());
         }
-        if (clock.nanos() - takeoverNanos < 0) {
+        if (!takeoverDelay.isOver(clock.nanos())) {
             return;
         }
         if (rowRead) {
@@ -380,7 +371,7 @@
                 LogEvent.of("lease_lost")
                         .with("fence", newLease.term().fencingToken())
                         .info();
-                takeoverPending = false;
+                takeoverDelay.cancel();
                 readRow();
             } else if (known.applyWritten(newLease, newRowVersion.getAsLong())) {
                 pendingOrders.dropCompleted(completedIntents);
