--- a/core/src/main/java/org/geraniumford/core/weights/OrderSightings.java
+++ b/core/src/main/java/org/geraniumford/core/weights/OrderSightings.java
@@ -64,8 +64,10 @@
                     && nowNanos - readNanos.getAsLong() > spacing.handover().toNanos();
         }
 
-        boolean isNeeded(Duration kept, long nowNanos) {
-            return nowNanos - seenNanos < (readNanos.isPresent() ? kept : LONGEST_STANDSTILL).toNanos();
+        boolean isNeeded(OrderSpacing spacing, Duration extra, long nowNanos) {
+            Duration kept = readNanos.isPresent() ? spacing.total().plus(extra) : LONGEST_STANDSTILL;
+            boolean recent = nowNanos - seenNanos < kept.toNanos();
+            return recent || (readNanos.isPresent() && !isOver(spacing, nowNanos));
         }
     }
 
@@ -139,11 +141,11 @@
      * @param extra how much longer than the spacing it is kept
      * @param nowNanos the time of the local monotonic clock
      * @return true if it was first seen within the spacing and the extra time, or not at all, or if its server may not
-     *     have read it
+     *     have read it, or has read it within the handover time
      */
     public boolean isNeeded(OrderKey order, Duration extra, long nowNanos) {
         Sighting sighting = sightings.get(order);
-        return sighting == null || sighting.isNeeded(spacing.total().plus(extra), nowNanos);
+        return sighting == null || sighting.isNeeded(spacing, extra, nowNanos);
     }
 
     /**
