--- a/daemon/src/main/java/org/geraniumford/daemon/weights/HeldBackServers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/HeldBackServers.java
@@ -40,13 +40,15 @@
 
     // -- commands
 
-    /** Asks those of some servers that may not have read an order yet. */
+    /**
+     * Asks those of some servers that may not have read an order yet. One that has no room for further requests is
+     * asked as well, as before an order: requests may keep it at its limit all the time.
+     */
     void ask(List<ServerState> servers) {
         askedNanos.values().removeIf(nanos -> !isRecent(nanos));
         servers.stream()
                 .filter(server -> known.isAnswerMissing(server.server().id()))
                 .filter(server -> !askedNanos.containsKey(server.server().id()))
-                .filter(server -> state.serverLimits().hasRoom(server))
                 .filter(server -> !server.pause().isPaused(clock.nanos()))
                 .forEach(this::ask);
     }
