--- a/daemon/src/main/java/org/geraniumford/daemon/weights/HeldBackServers.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/HeldBackServers.java
@@ -1,8 +1,8 @@
 package org.geraniumford.daemon.weights;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.time.LocalClock;
@@ -44,7 +44,7 @@
      * Asks those of some servers that may not have read an order yet. One that has no room for further requests is
      * asked as well, as before an order: requests may keep it at its limit all the time.
      */
-    void ask(List<ServerState> servers) {
+    void ask(Collection<ServerState> servers) {
         askedNanos.values().removeIf(nanos -> !isRecent(nanos));
         servers.stream()
                 .filter(server -> known.isAnswerMissing(server.server().id()))
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -247,6 +247,7 @@
             return;
         }
         pendingOrders.poll();
+        askAsHolder();
         dropLostStoreCall(clock.nanos());
         boolean mustHoldLease = planner.hasOutdatedServers() || known.isRowToWrite();
         boolean hasCompletedIntents = !pendingOrders.completedIntents().isEmpty();
@@ -283,7 +284,6 @@
         if (writes.comeToNothing() || pendingOrders.reachesNoServer()) {
             release();
         } else if (!leftToOthers) {
-            askHeldBackServers();
             writeIntents();
         }
     }
@@ -297,7 +297,7 @@
         if (clock.nanos() - takeoverNanos < 0) {
             return;
         }
-        askHeldBackServers();
+        heldBackServers.ask(planner.outdatedServers());
         if (rowRead) {
             writeIntents();
         } else {
@@ -305,8 +305,11 @@
         }
     }
 
-    private void askHeldBackServers() {
-        heldBackServers.ask(planner.outdatedServers());
+    /** As the holder, asks also servers that have the newest weights, so that a later version finds none held back. */
+    private void askAsHolder() {
+        if (known.isOwn() && !leftToOthers) {
+            heldBackServers.ask(state.directory().all());
+        }
     }
 
     private void markStoreCall() {
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/HeldBackServersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/HeldBackServersTest.java
@@ -24,8 +24,38 @@
 
 /** Guards against rollouts that wait for answers that nobody asks for, and against more reports than are needed. */
 final class HeldBackServersTest {
+    private static final int ENGINES = 6;
     private static final long ARRIVAL_MILLIS = 1800;
 
+    /** Longer than the time after its start for which an entry orders nothing. */
+    private static final long START_TIME_MILLIS = 8000;
+
+    private static final long TIME_TO_FIRST_ORDERS_MILLIS = 200;
+    private static final long LIMIT_MILLIS = 30_000;
+
+    private static SimulatedRollout started(int entries) {
+        SimulatedRollout rollout = new SimulatedRollout(entries, ENGINES, 1);
+        rollout.run(START_TIME_MILLIS);
+        rollout.publish(2);
+        rollout.run(TIME_TO_FIRST_ORDERS_MILLIS);
+        return rollout;
+    }
+
+    private static long timeOfNextVersion(SimulatedRollout rollout) {
+        rollout.runUntil(() -> rollout.enginesBehind(2) == 0, LIMIT_MILLIS);
+        rollout.run(LIMIT_MILLIS / 2);
+        rollout.publish(3);
+        return rollout.runUntil(() -> rollout.enginesBehind(3) == 0, LIMIT_MILLIS);
+    }
+
+    /** Guards against orders that a holder has left without an answer, and that nobody asks about until they matter. */
+    @Test
+    void shouldRollOutTheNextVersionAsFastAfterAHolderHasEnded() {
+        SimulatedRollout disturbed = started(3);
+        disturbed.holder().setRunning(false);
+        assertThat(timeOfNextVersion(disturbed)).isEqualTo(timeOfNextVersion(started(3)));
+    }
+
     /** Guards against a server that requests always keep at its limit, and that is never asked and so never ordered. */
     @Test
     void shouldAskAServerWhoseLimitIsUsedUp() {
