--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -297,8 +297,8 @@
         if (clock.nanos() - takeoverNanos < 0) {
             return;
         }
-        heldBackServers.ask(planner.outdatedServers());
         if (rowRead) {
+            heldBackServers.ask(planner.outdatedServers());
             writeIntents();
         } else {
             readRow();
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/HeldBackServersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/HeldBackServersTest.java
@@ -20,11 +20,13 @@
 import org.geraniumford.core.weights.OrderSpacing;
 import org.geraniumford.core.weights.WeightsLease;
 import org.geraniumford.daemon.gateway.GatewayState;
+import org.geraniumford.daemon.weights.SimulatedRollout.StoreAccess;
 import org.junit.jupiter.api.Test;
 
 /** Guards against rollouts that wait for answers that nobody asks for, and against more reports than are needed. */
 final class HeldBackServersTest {
     private static final int ENGINES = 6;
+    private static final int ENTRIES = 24;
     private static final long ARRIVAL_MILLIS = 1800;
 
     /** Longer than the time after its start for which an entry orders nothing. */
@@ -56,6 +58,17 @@
         assertThat(timeOfNextVersion(disturbed)).isEqualTo(timeOfNextVersion(started(3)));
     }
 
+    /** Guards against reports of entries that cannot take the lease over anyway. */
+    @Test
+    void shouldAskNoServerWhileTheStoreCannotBeRead() {
+        SimulatedRollout rollout = started(ENTRIES);
+        rollout.holder().setRunning(false);
+        rollout.entries().forEach(entry -> entry.setStoreAccess(StoreAccess.REFUSED));
+        int before = rollout.reports();
+        rollout.run(LIMIT_MILLIS / 2);
+        assertThat(rollout.reports()).isEqualTo(before);
+    }
+
     /** Guards against a server that requests always keep at its limit, and that is never asked and so never ordered. */
     @Test
     void shouldAskAServerWhoseLimitIsUsedUp() {
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
@@ -42,6 +42,7 @@
 
     private LeaseSnapshot row = LeaseSnapshot.empty();
     private long storeVersion = 7;
+    private int reports;
 
     private record Event(long atMillis, Runnable action) {}
 
@@ -65,6 +66,15 @@
                 .orElseThrow();
     }
 
+    /** Returns how many reports all entries have requested. */
+    int reports() {
+        return reports;
+    }
+
+    List<Entry> entries() {
+        return List.copyOf(entries);
+    }
+
     List<Engine> engines() {
         return engines;
     }
@@ -248,6 +258,7 @@
 
         @Override
         public CompletableFuture<EngineReport> report(BackendServer server) {
+            reports++;
             return CompletableFuture.completedFuture(engine(server).report());
         }
 
