--- a/core/src/main/java/org/geraniumford/core/weights/WeightsHistory.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsHistory.java
@@ -31,6 +31,9 @@
 
     private final TreeMap<Integer, Long> publishedNanos = new TreeMap<>();
 
+    /** When each version was first heard of, in nanoseconds of the shared clock; it was published before. */
+    private final TreeMap<Integer, Long> knownNanos = new TreeMap<>();
+
     /** The newest version of unknown age when this history began; 0 if there is none. */
     private int initialVersion;
 
@@ -146,7 +149,8 @@
 
     /**
      * Records a version that was published after a known time. If several times are reported, the latest is kept, which
-     * is the tightest limit.
+     * is the tightest limit. A time after which the version, or a newer one, was known here already is a wrong one; the
+     * version then counts as published when it was first known.
      *
      * @param version the version
      * @param atNanos a time at which the version was not published yet, in nanoseconds of the shared clock
@@ -158,12 +162,28 @@
             initialVersion = version - 1;
             initialNanos = nowNanos;
         }
-        publishedNanos.merge(version, atNanos, Math::max);
+        recordKnown(version, Math.max(atNanos, nowNanos));
+        publishedNanos.merge(version, Math.min(atNanos, knownSinceNanos(version)), Math::max);
         while (publishedNanos.size() > MAX_VERSIONS) {
             publishedNanos.remove(requireNonNull(publishedNanos.firstKey()));
         }
     }
 
+    private void recordKnown(int version, long atNanos) {
+        knownNanos.putIfAbsent(version, atNanos);
+        while (knownNanos.size() > MAX_VERSIONS) {
+            knownNanos.remove(requireNonNull(knownNanos.firstKey()));
+        }
+    }
+
+    /** Returns when a version, or a newer one, was first known. */
+    private long knownSinceNanos(int version) {
+        return knownNanos.tailMap(version).values().stream()
+                .mapToLong(Long::longValue)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
     /**
      * Records a version that existed when an entry first read the store. Unless it is known already, its age is unknown
      * until a time of its publication is recorded.
@@ -176,6 +196,7 @@
         if (version > newest()) {
             initialNanos = isEmpty() ? atNanos : nowNanos;
             initialVersion = version;
+            recordKnown(version, nowNanos);
         }
     }
 }
--- a/core/src/test/java/org/geraniumford/core/weights/WeightsHistoryTest.java
+++ b/core/src/test/java/org/geraniumford/core/weights/WeightsHistoryTest.java
@@ -37,6 +37,26 @@
         assertThat(history.oldestAllowed(MAX_STALENESS, 15 * SECOND_NANOS)).isEqualTo(2);
     }
 
+    /** Guards against an entry that finds a version when its row is put back, and reports it as just published. */
+    @Test
+    void shouldNotAllowOlderWeightsAgainWhenALaterTimeOfAKnownVersionIsReported() {
+        history.recordPublished(2, SECOND_NANOS, SECOND_NANOS);
+        assertThat(history.oldestAllowed(MAX_STALENESS, 100 * SECOND_NANOS)).isEqualTo(2);
+        history.recordPublished(2, 100 * SECOND_NANOS, 100 * SECOND_NANOS);
+        assertThat(history.oldestAllowed(MAX_STALENESS, 100 * SECOND_NANOS)).isEqualTo(2);
+        assertThat(history.gossip("model", 100 * SECOND_NANOS))
+                .contains(new PublishedWeights("model", 2, 1000, 99_000, true));
+    }
+
+    @Test
+    void shouldNotCountATimeAfterANewerVersionWasKnown() {
+        history.recordInitial(4, 100 * SECOND_NANOS, 100 * SECOND_NANOS);
+        assertThat(history.oldestAllowed(MAX_STALENESS, 102 * SECOND_NANOS)).isEqualTo(4);
+        history.recordPublished(4, 110 * SECOND_NANOS, 110 * SECOND_NANOS);
+        history.recordPublished(3, 110 * SECOND_NANOS, 110 * SECOND_NANOS);
+        assertThat(history.oldestAllowed(MAX_STALENESS, 110 * SECOND_NANOS)).isEqualTo(4);
+    }
+
     @Test
     void shouldDisallowVersionsOfUnknownAgeSoonAfterStartDuringRollout() {
         history.recordInitial(4, 100 * SECOND_NANOS, 100 * SECOND_NANOS);
