--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecorder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecorder.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -49,6 +50,9 @@
     /** The keys of the rows of this process, and when they were written, oldest first. */
     private final Map<String, Long> writtenMillis = new LinkedHashMap<>();
 
+    /** When each row that the store holds was first read, from {@link SharedClock#millis}. */
+    private final Map<String, Long> readMillis = new HashMap<>();
+
     /** The keys of rows that others have left behind. */
     private final Set<String> expired = new LinkedHashSet<>();
 
@@ -88,9 +92,18 @@
         origins.forEach(origin -> pending.add(new Heard(origin, nowMillis)));
     }
 
-    /** Has rows removed with the next call that are older than any stream. */
+    /**
+     * Has rows removed with the next call that are older than any stream. Their age counts from when they were first
+     * read here, because the clock of the entry that wrote one may have been behind.
+     */
     void removeExpired(StreamRecords records) {
-        expired.addAll(records.recordedBefore(clock.millis() - RETENTION.toMillis()));
+        long nowMillis = clock.millis();
+        Set<String> keys = records.batches().keySet();
+        readMillis.keySet().retainAll(keys);
+        keys.forEach(key -> readMillis.putIfAbsent(key, nowMillis));
+        readMillis.entrySet().stream()
+                .filter(row -> row.getValue() < nowMillis - RETENTION.toMillis())
+                .forEach(row -> expired.add(row.getKey()));
     }
 
     /** Writes what has been collected, if it is this entry's turn and a call is due. */
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecords.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecords.java
@@ -31,12 +31,4 @@
                 .flatMap(batch -> batch.origins().stream())
                 .toList();
     }
-
-    /** Returns the keys of the rows that were written before a time. */
-    List<String> recordedBefore(long millis) {
-        return batches.entrySet().stream()
-                .filter(batch -> batch.getValue().recordedMillis() < millis)
-                .map(Map.Entry::getKey)
-                .toList();
-    }
 }
