--- a/core/src/main/java/org/geraniumford/core/limits/ServerLimit.java
+++ b/core/src/main/java/org/geraniumford/core/limits/ServerLimit.java
@@ -51,7 +51,9 @@
     private long changedNanos;
     private long announcedNanos;
 
-    /** What the shared clock is ahead of {@link System#nanoTime}, in milliseconds. */
+    /**
+     * What the shared clock is ahead of {@link System#nanoTime}, in milliseconds, by the newest response or message.
+     */
     private long sharedAheadMillis;
 
     /** The cycle in which this entry has used its turn; see {@link SendWindow}. */
@@ -200,12 +202,12 @@
             return false;
         }
         namedMillis = responseMillis;
+        sharedAheadMillis = responseMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos);
         if (newRate.equals(rate)) {
             return false;
         }
         if (rate.isEmpty()) {
             account = new RateBucket(0, micros(nowNanos));
-            sharedAheadMillis = responseMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos);
         }
         rate = newRate;
         changedNanos = nowNanos;
--- a/core/src/test/java/org/geraniumford/core/limits/ServerLimitTest.java
+++ b/core/src/test/java/org/geraniumford/core/limits/ServerLimitTest.java
@@ -217,4 +217,19 @@
         List<Long> arrivals = play(8, 2, 20 * MILLI, true, 15 * SECOND);
         assertThat(mostIn4Seconds(arrivals, 3 * SECOND)).isLessThanOrEqualTo(17);
     }
+
+    /** Guards against turns by a reading of the shared clock that was late, and was corrected since. */
+    @Test
+    void shouldTakeTurnsByTheNewestReadingOfTheSharedClock() {
+        EntryShare share = new EntryShare(0, 8, 0.5);
+        ServerLimit corrected = ServerLimit.none(new Random(7));
+        corrected.apply(OptionalDouble.of(0.4), 1000, SECOND);
+        corrected.apply(OptionalDouble.of(0.4), 12_000, 2 * SECOND);
+        ServerLimit right = ServerLimit.none(new Random(7));
+        right.apply(OptionalDouble.of(0.4), 12_000, 2 * SECOND);
+        IntStream.range(2, 40)
+                .mapToLong(second -> second * SECOND)
+                .forEach(nowNanos -> assertThat(corrected.hasRoom(share, false, nowNanos))
+                        .isEqualTo(right.hasRoom(share, false, nowNanos)));
+    }
 }
