--- a/core/src/test/java/org/geraniumford/core/limits/SendWindowTest.java
+++ b/core/src/test/java/org/geraniumford/core/limits/SendWindowTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -34,6 +35,30 @@
         }
     }
 
+    /** Guards against entries that send in each other's turn, because their readings of the shared clock differ. */
+    @ParameterizedTest
+    @CsvSource({
+        "8, 0.4, 500",
+        "36, 0.4, 500",
+        "36, 2, 500",
+        "8, 0.4, 3000",
+        "36, 0.4, 3000",
+        "36, 2, 3000",
+        "36, 8, 3000"
+    })
+    void shouldLetFewEntriesSendInAnyFourSecondsWhenTheirClocksAreBehind(int entries, double rate, long maxBehind) {
+        long cycleMillis = (long) (1000 * entries / rate);
+        Random random = new Random(1);
+        long[] behindMillis = random.longs(entries, 0, maxBehind + 1).toArray();
+        for (long from = START_MILLIS; from < START_MILLIS + cycleMillis; from += STEP_MILLIS) {
+            long now = from;
+            long sending = IntStream.range(0, entries)
+                    .filter(entry -> isOpenWithin(window(entry, entries, rate), now - behindMillis[entry]))
+                    .count();
+            assertThat((double) sending).isLessThanOrEqualTo(5 * rate + 4);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"8, 0.4", "36, 0.4", "36, 8"})
     void shouldGiveEveryEntryOneTurnInEachCycle(int entries, double rate) {
