--- a/core/src/test/java/org/geraniumford/core/quarantine/SegmentQuarantineTest.java
+++ b/core/src/test/java/org/geraniumford/core/quarantine/SegmentQuarantineTest.java
@@ -48,6 +48,21 @@
         return at.decide(segments, nowNanos) instanceof QuarantineDecision.Suspected suspected && suspected.trial();
     }
 
+    /** Guards against two trials of one segment, because the turns count from when the news arrived. */
+    @Test
+    void shouldNotLetTwoEntriesTryAtOneTimeWhenTheNewsOfTheHoldCameLate() {
+        quarantine.updatePeers(List.of("entry-2"));
+        peer.updatePeers(List.of("entry-1"));
+        endEngines(2, BAD, 0);
+        QuarantineGossip news = quarantine.gossip(0);
+        peer.applyGossip("entry-1", news, 500 * MILLI);
+        LongStream.range(20, 80)
+                .map(tenths -> tenths * 100 * MILLI)
+                .forEach(nowNanos -> assertThat(isTrial(quarantine, BAD, nowNanos) && isTrial(peer, BAD, nowNanos))
+                        .as("two trials after %s ms", nowNanos / MILLI)
+                        .isFalse());
+    }
+
     // -- counting
 
     @Test
