--- a/core/src/main/java/org/geraniumford/core/weights/RolloutPlan.java
+++ b/core/src/main/java/org/geraniumford/core/weights/RolloutPlan.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * Selects the servers that load new weights next, distributed over the failure domains, while the others serve
@@ -16,18 +15,12 @@
  *
  * <p>A server that drains and loads serves nothing, and comes back with an empty cache. Therefore only a quarter of the
  * servers, rounded, load at a time, unless more are necessary for every server to load before its weights may no longer
- * be used. This happens when versions are published every few seconds. More than half load at a time only in two cases:
- * servers whose weights may no longer be used serve nothing until they load, so all of them are ordered; and servers
- * that would miss the time for the whole rollout, because those before them take long to drain, are ordered at the last
- * moment that is in time.
+ * be used. This happens when versions are published every few seconds. More than half never load at a time.
  */
 public final class RolloutPlan {
     private static final int USUAL_SHARE_DIVISOR = 4;
     private static final int LARGEST_SHARE_DIVISOR = 2;
 
-    /** The time before the last moment at which a server is ordered; covers the write of the order's intent. */
-    private static final Duration DUE_MARGIN = Duration.ofMillis(500);
-
     private RolloutPlan() {}
 
     // -- queries
@@ -38,21 +31,12 @@
      * @param outdated the servers that have older weights and are not loading
      * @param loadingDomains the failure domains of the servers that are loading, one element per server
      * @param serverCount how many servers have the model
-     * @param loadEstimate how long one server takes to drain and load
+     * @param loadTime how long one server takes to drain and load
      * @return the servers to which orders are sent, in sequence; may be empty
      */
     public static List<RolloutCandidate> selectServers(
-            List<RolloutCandidate> outdated, List<String> loadingDomains, int serverCount, LoadEstimate loadEstimate) {
-        int slots = loadingSlots(outdated, loadingDomains.size(), serverCount, loadEstimate.atLeast());
-        List<RolloutCandidate> chosen = distribute(outdated, loadingDomains, slots - loadingDomains.size());
-        Stream<RolloutCandidate> beyondSlots = outdated.stream()
-                .filter(candidate -> !chosen.contains(candidate))
-                .filter(candidate -> candidate.isExpired() || candidate.isDue(loadEstimate, DUE_MARGIN));
-        return Stream.concat(chosen.stream(), beyondSlots).toList();
-    }
-
-    private static List<RolloutCandidate> distribute(
-            List<RolloutCandidate> outdated, List<String> loadingDomains, int freeSlots) {
+            List<RolloutCandidate> outdated, List<String> loadingDomains, int serverCount, Duration loadTime) {
+        int freeSlots = loadingSlots(outdated, loadingDomains.size(), serverCount, loadTime) - loadingDomains.size();
         Map<String, Integer> loadingByDomain = new HashMap<>();
         loadingDomains.forEach(domain -> loadingByDomain.merge(domain, 1, Integer::sum));
         List<RolloutCandidate> remaining = new ArrayList<>(outdated);
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/OrderPlanner.java
@@ -3,19 +3,16 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Function;
 import java.util.stream.Stream;
 import org.geraniumford.core.fleet.ServerState;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.LeaseTerm;
-import org.geraniumford.core.weights.LoadEstimate;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.core.weights.OrderKey;
 import org.geraniumford.core.weights.OrderProgress;
 import org.geraniumford.core.weights.RolloutCandidate;
 import org.geraniumford.core.weights.RolloutPlan;
 import org.geraniumford.daemon.gateway.GatewayState;
-import org.geraniumford.transport.log.LogEvent;
 
 /** Determines which servers have outdated weights and which of them are ordered next. Changes nothing. */
 final class OrderPlanner {
@@ -23,7 +20,7 @@
     private final GatewayState state;
     private final KnownLease known;
     private final LocalClock clock;
-    private final RolloutTimes times;
+    private final Duration maxStaleness;
 
     /**
      * Creates a planner.
@@ -32,14 +29,14 @@
      * @param state the servers and the published weights
      * @param known the lease, with the orders of other terms
      * @param clock the local clock
-     * @param times the bounds that the rollout must keep
+     * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
      */
-    OrderPlanner(String host, GatewayState state, KnownLease known, LocalClock clock, RolloutTimes times) {
+    OrderPlanner(String host, GatewayState state, KnownLease known, LocalClock clock, Duration maxStaleness) {
         this.host = host;
         this.state = state;
         this.known = known;
         this.clock = clock;
-        this.times = times;
+        this.maxStaleness = maxStaleness;
     }
 
     // -- queries
@@ -66,15 +63,14 @@
      *
      * @param term the term in which the orders will be issued
      * @param pendingServers the ids of the servers with an order of this host that has not ended
-     * @param loadEstimate how long one server takes to drain and load
+     * @param loadTime how long one server takes to drain and load
      * @param storeNowMillis the current time, in milliseconds on the store's clock
      */
-    List<OrderIntent> planOrders(
-            LeaseTerm term, Set<String> pendingServers, LoadEstimate loadEstimate, long storeNowMillis) {
+    List<OrderIntent> planOrders(LeaseTerm term, Set<String> pendingServers, Duration loadTime, long storeNowMillis) {
         return state.publishedWeights().entrySet().stream()
                 .flatMap(entry ->
                         planModelOrders(
-                                entry.getKey(), entry.getValue(), term, pendingServers, loadEstimate, storeNowMillis)
+                                entry.getKey(), entry.getValue(), term, pendingServers, loadTime, storeNowMillis)
                                 .stream())
                 .toList();
     }
@@ -88,7 +84,7 @@
             int version,
             LeaseTerm term,
             Set<String> pendingServers,
-            LoadEstimate loadEstimate,
+            Duration loadTime,
             long storeNowMillis) {
         List<ServerState> servers = modelServers(model);
         List<ServerState> candidates = servers.stream()
@@ -106,12 +102,7 @@
                 .toList();
         List<RolloutCandidate> outdated =
                 candidates.stream().map(server -> candidate(server, model)).toList();
-        List<RolloutCandidate> chosen =
-                RolloutPlan.selectServers(outdated, loadingDomains, servers.size(), loadEstimate);
-        if (!chosen.isEmpty()) {
-            logPlan(model, version, servers.size(), loadingDomains.size(), chosen, loadEstimate);
-        }
-        return chosen.stream()
+        return RolloutPlan.selectServers(outdated, loadingDomains, servers.size(), loadTime).stream()
                 .map(candidate -> new OrderIntent(
                         new OrderKey(candidate.server(), term.fencingToken(), known.nextOrderVersion()),
                         model,
@@ -122,30 +113,6 @@
                 .toList();
     }
 
-    private static void logPlan(
-            String model,
-            int version,
-            int serverCount,
-            int loadingCount,
-            List<RolloutCandidate> chosen,
-            LoadEstimate loadEstimate) {
-        LogEvent.of("rollout_planned")
-                .with("model", model)
-                .with("version", version)
-                .with("servers", serverCount)
-                .with("loading", loadingCount)
-                .with("ordered", chosen.size())
-                .with("time_left_ms", leastMillis(chosen, RolloutCandidate::timeLeft))
-                .with("completion_left_ms", leastMillis(chosen, RolloutCandidate::completionTimeLeft))
-                .with("load_ms", loadEstimate.atLeast().toMillis())
-                .with("expected_load_ms", loadEstimate.expected().toMillis())
-                .info();
-    }
-
-    private static long leastMillis(List<RolloutCandidate> chosen, Function<RolloutCandidate, Duration> timeLeft) {
-        return chosen.stream().map(timeLeft).mapToLong(Duration::toMillis).min().orElse(0);
-    }
-
     private RolloutCandidate candidate(ServerState server, String model) {
         int loadedVersion = server.weightsVersion(model).orElse(0);
         return new RolloutCandidate(
@@ -153,8 +120,7 @@
                 server.server().failureDomain(),
                 loadedVersion,
                 server.totalLoad().running(),
-                state.weightsTimeLeft(model, loadedVersion, times.maxStaleness()),
-                state.weightsTimeLeft(model, loadedVersion, times.maxCompletionTime()));
+                state.weightsTimeLeft(model, loadedVersion, maxStaleness));
     }
 
     private static boolean isOutdated(ServerState server, String model, int version) {
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/PendingOrders.java
@@ -9,8 +9,6 @@
 import java.util.function.LongPredicate;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.IssueWindow;
-import org.geraniumford.core.weights.LoadEstimate;
-import org.geraniumford.core.weights.LoadTimes;
 import org.geraniumford.core.weights.OrderIntent;
 import org.geraniumford.daemon.gateway.GatewayState;
 
@@ -19,6 +17,9 @@
     /** The time that a server is assumed to take to drain and load until one has done so. */
     private static final Duration INITIAL_LOAD_TIME = Duration.ofSeconds(2);
 
+    /** The weight of the newest order in the moving average of the time to drain and load, from 0 to 1. */
+    private static final double LOAD_TIME_SMOOTHING = 0.2;
+
     private final GatewayState state;
     private final EngineAdmin engines;
     private final LocalClock clock;
@@ -27,8 +28,8 @@
     private final List<OrderIntent> completedIntents = new ArrayList<>();
     private final UnansweredServers unanswered = UnansweredServers.none();
 
-    /** The times from the intents of orders to their completion. */
-    private LoadTimes loadTimes = LoadTimes.of(INITIAL_LOAD_TIME);
+    /** A moving average of the time from the intent of an order to its completion. */
+    private double loadTimeMillis = INITIAL_LOAD_TIME.toMillis();
 
     /**
      * Creates an empty set of orders.
@@ -65,11 +66,9 @@
                 .toList();
     }
 
-    /** Estimates how long one server takes to drain and load. */
-    LoadEstimate loadEstimate() {
-        List<Duration> pendingTimes =
-                orders.values().stream().map(PendingOrder::sinceWrite).toList();
-        return loadTimes.estimate(pendingTimes);
+    /** Returns how long one server takes to drain and load, a moving average. */
+    Duration loadTime() {
+        return Duration.ofMillis(Math.round(loadTimeMillis));
     }
 
     /** Returns whether this process reaches no engine, as far as its orders tell. */
@@ -107,7 +106,8 @@
     @Override
     public void loaded(OrderIntent intent, Duration elapsed) {
         completedIntents.add(intent);
-        loadTimes = loadTimes.with(elapsed);
+        long elapsedMillis = elapsed.toMillis();
+        loadTimeMillis += (elapsedMillis - loadTimeMillis) * LOAD_TIME_SMOOTHING;
     }
 
     /** Drops the orders that have ended and polls the others. */
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -101,7 +101,7 @@
         this.releaseTime = orderSpacing.total().plus(TAKEOVER_TIME);
         this.known =
                 new KnownLease(host, Long.toHexString(random.nextLong()), clock, orderSpacing, ESTIMATED_LOADING_TIME);
-        this.planner = new OrderPlanner(host, state, known, clock, times);
+        this.planner = new OrderPlanner(host, state, known, clock, times.maxStaleness());
         this.pendingOrders = new PendingOrders(state, engines, clock, token -> !stopped && known.isTerm(token));
         this.heldBackServers = new HeldBackServers(state, engines, known, clock);
     }
@@ -342,7 +342,7 @@
         boolean lastWriteLate = known.isOwn() && writes.isLastLate();
         List<OrderIntent> orders = lastWriteLate
                 ? List.of()
-                : planner.planOrders(term, pendingOrders.servers(), pendingOrders.loadEstimate(), nowMillis);
+                : planner.planOrders(term, pendingOrders.servers(), pendingOrders.loadTime(), nowMillis);
         List<OrderIntent> completedIntents = pendingOrders.completedIntents();
         boolean renewalDue = lastWriteLate || (known.isOwn() && known.age().compareTo(RENEWAL_INTERVAL) > 0);
         if (completedIntents.isEmpty() && orders.isEmpty() && !renewalDue && !known.isRowToWrite()) {
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutTimes.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutTimes.java
@@ -9,14 +9,11 @@
  *
  * @param leaseHandoverDelay the time that must pass between orders of two holders to one server
  * @param maxStaleness how long after the publication of newer weights requests are sent to servers with older ones
- * @param maxCompletionTime how long after the publication of newer weights the servers must have loaded them; zero if
- *     that is not limited
  */
-public record RolloutTimes(Duration leaseHandoverDelay, Duration maxStaleness, Duration maxCompletionTime) {
+public record RolloutTimes(Duration leaseHandoverDelay, Duration maxStaleness) {
     /** Checks the components. */
     public RolloutTimes {
         requireNonNull(leaseHandoverDelay, "leaseHandoverDelay is null");
         requireNonNull(maxStaleness, "maxStaleness is null");
-        requireNonNull(maxCompletionTime, "maxCompletionTime is null");
     }
 }
--- a/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/peers/GossipExchangeTest.java
@@ -57,7 +57,7 @@
                 state,
                 new NoLeases(),
                 new NoEngines(),
-                new RolloutTimes(Duration.ofSeconds(1), Duration.ofSeconds(8), Duration.ZERO),
+                new RolloutTimes(Duration.ofSeconds(1), Duration.ofSeconds(8)),
                 LocalClock.system(),
                 new Random(1));
     }
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutControllerTest.java
@@ -30,13 +30,7 @@
     private final RecordedLeases leases = new RecordedLeases();
     private final DrainingEngine engine = new DrainingEngine();
     private final RolloutController controller = RolloutController.of(
-            "host",
-            state,
-            leases,
-            engine,
-            new RolloutTimes(Duration.ZERO, Duration.ofSeconds(8), Duration.ZERO),
-            clock,
-            () -> 0L);
+            "host", state, leases, engine, new RolloutTimes(Duration.ZERO, Duration.ofSeconds(8)), clock, () -> 0L);
 
     /**
      * Guards against requests to an engine that drains for longer than the order's intent is valid: it looks idle to
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutDelayTest.java
@@ -42,7 +42,7 @@
                     state,
                     row,
                     engine,
-                    new RolloutTimes(Duration.ofSeconds(3), Duration.ofSeconds(6), Duration.ZERO),
+                    new RolloutTimes(Duration.ofSeconds(3), Duration.ofSeconds(6)),
                     clock,
                     new Random());
             state.directory()
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/RolloutLatencyTest.java
@@ -172,7 +172,7 @@
                     state,
                     store,
                     engine,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8), Duration.ZERO),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8)),
                     clock,
                     new Random(1));
             for (String server : servers) {
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/SimulatedRollout.java
@@ -32,7 +32,6 @@
     private static final long HANDOVER_MILLIS = 3000;
     private static final long STORE_CALL_MILLIS = 20;
     private static final Duration USABLE_STALENESS = Duration.ofSeconds(6);
-    private static final Duration COMPLETION_TIME = Duration.ofSeconds(11);
     private static final long START_MILLIS = 1_000_000;
 
     private final VirtualClock clock = new VirtualClock();
@@ -158,7 +157,7 @@
                     state,
                     this,
                     this,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), USABLE_STALENESS, COMPLETION_TIME),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), USABLE_STALENESS),
                     clock,
                     random);
             engines.forEach(engine -> state.directory().register(engine.listed()));
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/TwoHoldersTest.java
@@ -56,7 +56,7 @@
                     state,
                     new DelayedStore(row, clockBehindMillis),
                     engine,
-                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8), Duration.ZERO),
+                    new RolloutTimes(Duration.ofMillis(HANDOVER_MILLIS), Duration.ofSeconds(8)),
                     clock,
                     new Random());
             list(ENGINE, "10.0.0.1:80");
