--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -277,6 +277,8 @@
         if (putBack) {
             LogEvent.of("lease_put_back")
                     .with("row", newRowVersion)
+                    .with("known_row", rowVersion)
+                    .with("replaced", newLease.replacedVersion())
                     .with("fence", newLease.term().fencingToken())
                     .with("known_fence", lease.term().fencingToken())
                     .warn();
