--- a/core/src/main/java/org/geraniumford/core/store/StoreVersion.java
+++ b/core/src/main/java/org/geraniumford/core/store/StoreVersion.java
@@ -76,6 +76,15 @@
         return compareTo(other) < 0;
     }
 
+    /**
+     * Returns the version with which this one's era begins, before its first transaction.
+     *
+     * @return a version that is not newer than this one
+     */
+    public StoreVersion eraStart() {
+        return new StoreVersion(era, 0);
+    }
+
     @Override
     public int compareTo(StoreVersion other) {
         return ORDER.compare(this, other);
--- a/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
+++ b/core/src/main/java/org/geraniumford/core/weights/WeightsLease.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.geraniumford.core.store.StoreVersion;
 import org.geraniumford.core.text.LineField;
 
 /**
@@ -22,8 +23,8 @@
  * @param intents the intents of recent orders
  * @param ordersLostVersion the version of a row, or of the store if the row was missing, whose intents could not be
  *     read; 0 if that is long ago or never was
- * @param replacedVersion the version of the row that the write of this one replaced, 0 if there was none;
- *     {@link #UNKNOWN_VERSION} if the row does not tell
+ * @param replacedVersion the version of the row that the write of this one replaced, that of the beginning of the
+ *     store's era if there was none; {@link #UNKNOWN_VERSION} if the row does not tell
  */
 public record WeightsLease(
         LeaseTerm term, boolean released, List<OrderIntent> intents, long ordersLostVersion, long replacedVersion) {
@@ -171,6 +172,17 @@
         return replacedVersion < seenRowVersion;
     }
 
+    /**
+     * Returns whether this value was written before the store came back from a copy, so that others may have been lost
+     * that were written after it.
+     *
+     * @param readVersion a version of the era in which the value was read
+     * @return false if that cannot be told
+     */
+    public boolean isOfEarlierEra(long readVersion) {
+        return replacedVersion < StoreVersion.ofOrdinal(readVersion).eraStart().ordinal();
+    }
+
     // -- transitions
 
     /**
@@ -181,7 +193,7 @@
      *     the same order, or of the same holder for the same server and model
      * @param needed whether successors still need the intents of an order
      * @param lossNeeded whether successors still need to know that intents were lost
-     * @param rowVersion the version of the row that is replaced; 0 if there is none
+     * @param rowVersion the version of the row that is replaced; that of the beginning of the era if there is none
      * @return the next value of the row
      */
     public WeightsLease renewedBy(
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.geraniumford.core.store.StoreVersion;
 import org.geraniumford.core.time.LocalClock;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
@@ -50,6 +51,8 @@
 
     private boolean known;
 
+    private boolean readRequired = true;
+
     /**
      * Creates the knowledge of a process that has not seen the row.
      *
@@ -69,9 +72,9 @@
 
     // -- queries
 
-    /** Returns whether the row was read or heard of. */
-    boolean isKnown() {
-        return known;
+    /** Returns whether the row must be read: nobody has told of it yet, or what is known of it may be lost. */
+    boolean isReadRequired() {
+        return readRequired;
     }
 
     /**
@@ -159,13 +162,19 @@
                         newIntents,
                         order -> sightings.isNeeded(order, extraRetention, nowNanos),
                         sightings.isLossRecent(nowNanos),
-                        rowVersion)
+                        replacedVersion())
                 .withRead(sightings::isRead);
     }
 
     /** Returns the row as this process writes it to release the lease. */
     WeightsLease released() {
-        return lease.asReleased(rowVersion).withRead(sightings::isRead);
+        return lease.asReleased(replacedVersion()).withRead(sightings::isRead);
+    }
+
+    private long replacedVersion() {
+        return rowVersion > 0
+                ? rowVersion
+                : StoreVersion.ofOrdinal(knownVersion).eraStart().ordinal();
     }
 
     /** Returns the orders of other terms that hold back orders of a term. */
@@ -189,6 +198,11 @@
 
     // -- commands
 
+    /** Records that the store has come back from a copy, which may lack the last values of the row. */
+    void requireRead() {
+        readRequired = true;
+    }
+
     /** Records that a server has just answered a request. */
     void recordAnswer(String server, long sentNanos) {
         sightings.recordAnswer(server, sentNanos, clock.nanos());
@@ -217,6 +231,7 @@
      * @return whether it was applied
      */
     boolean applyRead(LeaseRow row, long readNanos) {
+        readRequired = false;
         long version = row.snapshot().version();
         // A row that is missing again may have been written and removed meanwhile.
         boolean unchanged = known && version > 0 && version == rowVersion;
@@ -237,14 +252,20 @@
         return true;
     }
 
-    /** Returns the lease in the row; one with lost intents if it cannot be read, or if others have changed it. */
+    /**
+     * Returns the lease in the row; one with lost intents if it cannot be read, if others have changed it, or if it was
+     * written in an earlier era of the store, after which the row may have had further values.
+     */
     private static WeightsLease decode(LeaseRow row) {
         LeaseSnapshot snapshot = row.snapshot();
         Optional<WeightsLease> lease = WeightsLease.decode(snapshot.encodedLease());
-        if (lease.isPresent() && !row.isChangedByOthers()) {
+        boolean earlierEra =
+                lease.filter(found -> found.isOfEarlierEra(snapshot.version())).isPresent();
+        if (lease.isPresent() && !earlierEra && !row.isChangedByOthers()) {
             return lease.get();
         }
-        LogEvent.of(lease.isPresent() ? "lease_changed_by_others" : "lease_unreadable")
+        String event = earlierEra ? "lease_of_earlier_era" : "lease_changed_by_others";
+        LogEvent.of(lease.isPresent() ? event : "lease_unreadable")
                 .with("row", snapshot.version())
                 .with("written", row.writtenVersion())
                 .with("value", LogEvent.limited(snapshot.encodedLease()))
@@ -288,6 +309,8 @@
         rowVersion = newRowVersion;
         knownVersion = newKnownVersion;
         learnedNanos = clock.nanos();
+        // Once the store has come back from a copy, only a read tells.
+        readRequired = readRequired && known;
         known = true;
         sightings.observe(lease, learnedNanos);
     }
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/RolloutController.java
@@ -151,6 +151,11 @@
         }
     }
 
+    /** Has the row read again, because the store has come back from a copy that may lack its last values. */
+    public void storeCameBack() {
+        known.requireRead();
+    }
+
     private void leaseChanged() {
         if (!known.isOwn()) {
             pendingOrders.clear();
@@ -249,7 +254,7 @@
         if (storeCallPending || clock.nanos() - lastWriteNanos < WRITE_INTERVAL.toNanos()) {
             return;
         }
-        if (!known.isKnown()) {
+        if (known.isReadRequired()) {
             readRow();
         } else if (mustHoldLease || hasCompletedIntents) {
             reconcile();
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/KnownLeaseTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/KnownLeaseTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.geraniumford.core.store.StoreVersion;
 import org.geraniumford.core.weights.LeaseRow;
 import org.geraniumford.core.weights.LeaseSnapshot;
 import org.geraniumford.core.weights.LeaseTerm;
@@ -42,4 +43,51 @@
         }
         assertThat(known.allowsOrder("engine", known.nextTerm())).isTrue();
     }
+
+    // -- eras of the store
+
+    private static long version(long era, long number) {
+        return new StoreVersion(era, number).ordinal();
+    }
+
+    private static LeaseRow row(long token, long version, long replacedVersion) {
+        WeightsLease lease = new WeightsLease(new LeaseTerm(token, "other", "p"), false, List.of(), 0, replacedVersion);
+        return new LeaseRow(new LeaseSnapshot(version, lease.encode()), version, version);
+    }
+
+    /** A process that has just started knows nothing of the row's values after the copy was taken. */
+    @Test
+    void shouldNotOrderWithinTheSpacingWhenTheRowIsOfAnEarlierEra() {
+        known.applyRead(row(7, version(2, 30), version(1, 28)), clock.nanos());
+        assertThat(known.allowsOrder("engine", known.nextTerm())).isFalse();
+        assertThat(known.nextTerm().fencingToken()).isGreaterThanOrEqualTo(version(2, 30));
+        clock.advance(SPACING.total().toMillis() + 1);
+        assertThat(known.allowsOrder("engine", known.nextTerm())).isTrue();
+    }
+
+    @Test
+    void shouldKnowTheHolderWhenTheRowWasWrittenInTheEraInWhichItIsRead() {
+        known.applyRead(row(7, version(2, 30), version(2, 28)), clock.nanos());
+        assertThat(known.lease().term().holder()).isEqualTo("other");
+    }
+
+    /** The first write of an era replaces no row. */
+    @Test
+    void shouldKnowTheHolderThatWroteTheFirstRowOfAnEra() {
+        known.applyRead(row(7, version(1, 300), version(1, 290)), clock.nanos());
+        KnownLease first = new KnownLease("other", "p", clock, SPACING, Duration.ZERO);
+        first.applyRead(new LeaseRow(LeaseSnapshot.empty(), version(2, 20), 0), clock.nanos());
+        WeightsLease written = first.renewedWith(first.nextTerm(), List.of());
+        known.applyGossip(new LeaseSnapshot(version(2, 21), written.encode()));
+        assertThat(known.lease().term().holder()).isEqualTo("other");
+    }
+
+    @Test
+    void shouldIgnoreWhatAPeerTellsOfAnEarlierEra() {
+        known.applyRead(row(version(2, 30), version(2, 31), version(2, 30)), clock.nanos());
+        known.applyGossip(new LeaseSnapshot(
+                version(1, 400),
+                row(7, version(1, 400), version(1, 390)).snapshot().encodedLease()));
+        assertThat(known.rowVersion()).isEqualTo(version(2, 31));
+    }
 }
