--- a/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
+++ b/core/src/main/java/org/geraniumford/core/fleet/ServerDirectory.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.geraniumford.core.limits.EntryShare;
 import org.geraniumford.core.service.EngineSpec;
 
@@ -25,10 +26,19 @@
     /** How long after an outage of the server list a missing server is kept; shorter than any drain timeout. */
     public static final Duration REREGISTRATION_GRACE = Duration.ofMillis(1700);
 
+    /**
+     * How long after its removal peers are told that a server left. One that starts may read a list of before, which
+     * the store has come back with.
+     */
+    private static final Duration DEPARTURE_MEMORY = Duration.ofSeconds(60);
+
     private final Map<String, ServerState> byId = new LinkedHashMap<>();
     private final Map<String, PeerLoads> peerLoads = new HashMap<>();
     private final Map<String, Long> missingSinceNanos = new HashMap<>();
     private final Map<String, Long> leavingIncarnations = new HashMap<>();
+    /** The servers that left and are no longer listed, and when they were removed. */
+    private final Map<LeavingServer, Long> departedNanos = new HashMap<>();
+
     /** The servers that are no longer listed, but asked for a pause that still matters. */
     private final Map<String, ServerState> removedInPause = new HashMap<>();
 
@@ -91,14 +101,20 @@
     /**
      * Returns the servers that were observed leaving.
      *
-     * @return the name and incarnation of each leaving server that is still known
+     * @param complete whether to include those that were listed up to a minute ago
+     * @return the name and incarnation of each leaving server
      */
-    public List<LeavingServer> leavingServers() {
-        return byId.values().stream()
+    public List<LeavingServer> leavingServers(boolean complete) {
+        Stream<LeavingServer> leaving = byId.values().stream()
                 .map(ServerState::server)
                 .filter(BackendServer::leaving)
-                .map(server -> new LeavingServer(server.id(), server.incarnation()))
-                .toList();
+                .map(ServerDirectory::departure);
+        Stream<LeavingServer> departed = complete ? departedNanos.keySet().stream() : Stream.empty();
+        return Stream.concat(leaving, departed).distinct().toList();
+    }
+
+    private static LeavingServer departure(BackendServer server) {
+        return new LeavingServer(server.id(), server.incarnation());
     }
 
     /**
@@ -262,6 +278,9 @@
 
     private void remove(String id, long nowNanos) {
         ServerState removed = byId.remove(id);
+        if (removed != null && removed.server().leaving()) {
+            departedNanos.put(departure(removed.server()), nowNanos);
+        }
         if (removed != null && removed.pause().isRemembered(nowNanos)) {
             removedInPause.put(id, removed);
         }
@@ -303,5 +322,6 @@
             missingSinceNanos.clear();
         }
         removedInPause.values().removeIf(state -> !state.pause().isRemembered(nowNanos));
+        departedNanos.values().removeIf(removedNanos -> nowNanos - removedNanos >= DEPARTURE_MEMORY.toNanos());
     }
 }
--- a/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/peers/GossipExchange.java
@@ -300,7 +300,7 @@
                 new ServerGossip(
                         complete,
                         loads,
-                        state.directory().leavingServers(),
+                        state.directory().leavingServers(complete),
                         limits,
                         state.streams().gossip(complete),
                         state.serverSpeeds().gossip(complete, announcedNanos)),
