--- a/core/src/main/java/org/geraniumford/core/service/ConfigurationFreshness.java
+++ b/core/src/main/java/org/geraniumford/core/service/ConfigurationFreshness.java
@@ -16,6 +16,13 @@
     /** How long after it has been heard of a newer version is waited for, because it mostly arrives by itself. */
     private static final Duration ARRIVAL_TIME = Duration.ofMillis(200);
 
+    /**
+     * How long a version that was heard of may be missing in the table until whoever told of it counts as wrong. A
+     * store that has come back from a copy lacks it until the operator writes again; the peers' documents have come by
+     * then.
+     */
+    private static final Duration DOCUMENT_TIME = Duration.ofSeconds(2);
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final SharedClock clock;
@@ -32,6 +39,9 @@
 
     private long announcedMillis;
 
+    /** The last version that was told of and does not exist; -1 before one. */
+    private long disprovedVersion = -1;
+
     private ConfigurationFreshness(SharedClock clock, FreshnessBounds bounds) {
         this.clock = clock;
         this.bounds = bounds;
@@ -132,8 +142,8 @@
      */
     public void recordTableRead(long version, long tableMillis) {
         read = read.later(new ConfirmedConfiguration(version, tableMillis, 0));
-        if (announcedVersion > version && tableMillis >= announcedMillis) {
-            // Whoever told of a newer version was wrong.
+        if (announcedVersion > version && tableMillis - announcedMillis >= DOCUMENT_TIME.toMillis()) {
+            disprovedVersion = announcedVersion;
             announcedVersion = version;
             told = ConfirmedConfiguration.NONE;
         }
@@ -145,7 +155,7 @@
      * @param confirmation the peer's latest confirmation
      */
     public void recordGossip(ConfirmedConfiguration confirmation) {
-        if (confirmation.version() == 0) {
+        if (confirmation.version() == 0 || confirmation.version() == disprovedVersion) {
             return;
         }
         if (!clock.isKnown()) {
@@ -162,7 +172,7 @@
      * @param version a version that a peer has in force
      */
     public void recordAnnounced(long version) {
-        if (version > announcedVersion) {
+        if (version > announcedVersion && version != disprovedVersion) {
             announcedVersion = version;
             announcedMillis = clock.millis();
         }
