--- a/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/SoftwareWatch.java
@@ -55,6 +55,9 @@
     /** When the row was read or written last. */
     private long rowKnownMillis;
 
+    /** Whether the row may lack what it had, because the store has come back from a copy. */
+    private boolean rowMayBeLost;
+
     private boolean syncing;
     private long nextSyncMillis;
     private boolean syncPlanned;
@@ -124,11 +127,13 @@
         long nowMillis = clock.millis();
         boolean checkDue =
                 ownTurn && history.hasSeveralVersions() && nowMillis - rowKnownMillis >= ROW_CHECK_TURN.toMillis();
-        if (observed(stored).equals(stored) && !listed.hasUnrecorded() && !checkDue) {
+        boolean upToDate = observed(stored).equals(stored) && !listed.hasUnrecorded() && !rowMayBeLost;
+        if (upToDate && !checkDue) {
             syncPlanned = false;
         } else if (!syncPlanned) {
             syncPlanned = true;
-            long jitterMillis = stored.equals(SoftwareHistory.empty()) ? 0 : random.nextLong(MAX_JITTER.toMillis());
+            boolean first = stored.equals(SoftwareHistory.empty()) && !rowMayBeLost;
+            long jitterMillis = first ? 0 : random.nextLong(MAX_JITTER.toMillis());
             nextSyncMillis = Math.max(nextSyncMillis, nowMillis + jitterMillis);
         }
         if (syncPlanned && !syncing && nowMillis >= nextSyncMillis) {
@@ -151,12 +156,21 @@
         }
     }
 
+    /** Forgets what the row had, because the store has come back from a copy; what it lacks is written again. */
+    void storeCameBack() {
+        rowMayBeLost = true;
+        stored = SoftwareHistory.empty();
+        storedVersion = 0;
+        storedMillis = OptionalLong.empty();
+        listed.recordRow(Map.of(), clock.millis());
+    }
+
     private void sync(StreamStore store) {
         syncing = true;
         store.read()
                 .thenCompose(records -> {
                     apply(records);
-                    SoftwareHistory next = observed(stored);
+                    SoftwareHistory next = observed(rowMayBeLost ? stored.joinedWith(history) : stored);
                     return next.equals(stored)
                             ? CompletableFuture.completedFuture(OptionalLong.of(storedVersion))
                             : write(store, next);
@@ -164,6 +178,7 @@
                 .whenComplete((version, failure) -> {
                     syncing = false;
                     syncPlanned = false;
+                    rowMayBeLost = rowMayBeLost && (failure != null || version.isEmpty());
                     // Another entry that was quicker is read again at once.
                     if (failure != null) {
                         nextSyncMillis = clock.millis() + RETRY_DELAY.toMillis();
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecorder.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRecorder.java
@@ -72,6 +72,11 @@
 
     // -- queries
 
+    /** Returns whether it is this entry's turn to write streams. */
+    boolean isOwnTurn() {
+        return isOwnTurn(TURN);
+    }
+
     /** Returns whether it is this entry's turn, if each one lasts for a time. */
     boolean isOwnTurn(Duration length) {
         int turn = (int) Math.floorMod(clock.millis() / length.toMillis(), (long) hosts.size());
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -70,6 +70,9 @@
     /** What waits until a version of a service is known to all entries. */
     private final Map<ServiceVersion, CompletableFuture<Void>> unknownVersions = new HashMap<>();
 
+    /** Whether the store may lack streams that it had, because it has come back from a copy. */
+    private boolean rowsMayBeLost;
+
     /** The read in progress or the last one, and when it began. */
     private CompletableFuture<StreamRecords> lastRead;
 
@@ -316,6 +319,21 @@
         }
     }
 
+    /** Has streams and versions recorded again, because the store has come back from a copy that may lack them. */
+    public void storeCameBack() {
+        software.storeCameBack();
+        lastRead = null;
+        rowsMayBeLost = true;
+    }
+
+    /** Records the streams that are known here again, once it is this entry's turn. */
+    private void recordAgain() {
+        if (rowsMayBeLost && recorder.isOwnTurn()) {
+            rowsMayBeLost = false;
+            recorder.add(origins.select(origin -> isMixed(origin.service(), MEMORY)));
+        }
+    }
+
     /** Follows the versions of servers' software, and records streams. Must be called several times a second. */
     public void tick() {
         if (store == null) {
@@ -327,6 +345,7 @@
         }
         releaseKnownVersions();
         announceMixed();
+        recordAgain();
         recorder.tick(store);
         long nowMillis = clock.millis();
         origins.removeBegunBefore(nowMillis - MEMORY.toMillis());
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/RowStore.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/RowStore.java
@@ -23,6 +23,14 @@
         this.clockMillis = clockMillis;
     }
 
+    /** Goes back to rows of before, whose versions are given out again. */
+    void comeBackFromCopy(SoftwareHistory copiedHistory, long copiedVersion, Map<String, StreamBatch> copiedBatches) {
+        history = copiedHistory;
+        historyVersion = copiedVersion;
+        batches.clear();
+        batches.putAll(copiedBatches);
+    }
+
     private <T> CompletableFuture<T> answer(T value) {
         return failing
                 ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumford.core.fleet.BackendServer;
 import org.geraniumford.core.fleet.ServerDirectory;
+import org.geraniumford.core.stream.SoftwareHistory;
 import org.geraniumford.core.stream.StreamBatch;
 import org.geraniumford.core.stream.StreamOrigin;
 import org.geraniumford.core.time.SharedClock;
@@ -240,4 +242,27 @@
                         .version())
                 .isEmpty();
     }
+
+    /** Guards against streams that nobody can take up, or that go on at another version, as their rows were lost. */
+    @Test
+    void shouldRecordStreamsAndVersionsAgainWhenTheStoreHasComeBackFromACopy() {
+        registry.tick();
+        advance(1000);
+        SoftwareHistory copiedHistory = store.history;
+        long copiedVersion = store.historyVersion;
+        list("server-2", "v2");
+        registry.tick();
+        beginWithEvent("one", "v1");
+        beginWithEvent("two", "v2");
+        advance(300);
+        assertThat(store.batches).isNotEmpty();
+        store.comeBackFromCopy(copiedHistory, copiedVersion, Map.of());
+        registry.storeCameBack();
+        assertThat(registry.whenKnownToAll("service", "v2")).isNotDone();
+        advance(1500);
+        assertThat(store.history.openVersions()).containsEntry("service", Set.of("v1", "v2"));
+        assertThat(registry.whenKnownToAll("service", "v2")).isDone();
+        assertThat(softwareOf(restarted(), "one")).contains("v1");
+        assertThat(softwareOf(restarted(), "two")).contains("v2");
+    }
 }
