--- a/core/src/main/java/org/geraniumford/core/store/StoreVersion.java
+++ b/core/src/main/java/org/geraniumford/core/store/StoreVersion.java
@@ -13,8 +13,8 @@
  * @param number the number that the store gave out in that era; 0 before the first transaction
  */
 public record StoreVersion(long era, long number) implements Comparable<StoreVersion> {
-    /** The number of eras that {@link #ordinal} can tell apart. */
-    public static final long ERAS = 1L << 22;
+    /** The number of eras that {@link #ordinal} can tell apart. Ordinals are exact where JSON numbers are doubles. */
+    public static final long ERAS = 1L << 13;
 
     /** Numbers below this one can be told apart by {@link #ordinal}. */
     public static final long NUMBERS = 1L << 40;
