--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamRegistry.java
@@ -140,6 +140,8 @@
             basis = TakeUpBasis.SEVERAL_VERSIONS;
         } else if (listAgeMillis.isEmpty() || listAgeMillis.getAsLong() > maxListAge.toMillis()) {
             basis = TakeUpBasis.LIST_OUTDATED;
+        } else if (store.mayBeBehind()) {
+            basis = TakeUpBasis.READ_BEHIND;
         }
         return new TakeUp(
                 basis == TakeUpBasis.ONLY_VERSION ? versions.stream().findFirst() : recorded,
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/StreamStore.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/StreamStore.java
@@ -15,6 +15,13 @@
      */
     CompletableFuture<StreamRecords> read();
 
+    /**
+     * Returns whether a read may return an older state than the newest one.
+     *
+     * @return true if a version or a stream that the rows lack may have been recorded
+     */
+    boolean mayBeBehind();
+
     /**
      * Writes the row of the history if it has the expected version.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/streams/TakeUpBasis.java
@@ -17,7 +17,9 @@
     /** Nothing: several versions can have begun it. */
     SEVERAL_VERSIONS,
     /** Nothing: the entry's list of servers is so old that it may miss a version. */
-    LIST_OUTDATED;
+    LIST_OUTDATED,
+    /** Nothing: the store may have answered with an older state, which may miss a version. */
+    READ_BEHIND;
 
     // -- queries
 
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/EntryOutOfStepTest.java
@@ -292,6 +292,11 @@
             return failing ? failed() : rows.read();
         }
 
+        @Override
+        public boolean mayBeBehind() {
+            return false;
+        }
+
         @Override
         public CompletableFuture<OptionalLong> writeHistory(long expectedVersion, SoftwareHistory history) {
             return failing ? failed() : rows.writeHistory(expectedVersion, history);
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/RowStore.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/RowStore.java
@@ -17,6 +17,7 @@
     int written;
     int reads;
     boolean failing;
+    boolean behind;
     private final LongSupplier clockMillis;
 
     RowStore(LongSupplier clockMillis) {
@@ -43,6 +44,11 @@
         return answer(new StreamRecords(clockMillis.getAsLong(), historyVersion, history, batches));
     }
 
+    @Override
+    public boolean mayBeBehind() {
+        return behind;
+    }
+
     @Override
     public CompletableFuture<OptionalLong> writeHistory(long expectedVersion, SoftwareHistory next) {
         if (failing || expectedVersion != historyVersion) {
--- a/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/streams/StreamRegistryTest.java
@@ -83,6 +83,19 @@
         assertThat(softwareOf(restarted(), "id")).contains("v1");
     }
 
+    /**
+     * Guards against streams that go on at a version which has been replaced, as the history was read in an old state.
+     */
+    @Test
+    void shouldNotKnowTheOnlyVersionByAReadThatMayBeBehind() {
+        registry.tick();
+        advance(6000);
+        store.behind = true;
+        assertThat(softwareOf(restarted(), "id")).isEmpty();
+        store.behind = false;
+        assertThat(softwareOf(restarted(), "id")).contains("v1");
+    }
+
     @Test
     void shouldRecordStreamsWhileAServiceHasTwoVersions() {
         list("server-2", "v2");
