--- a/core/src/main/java/org/geraniumford/core/service/ConfigurationFreshness.java
+++ b/core/src/main/java/org/geraniumford/core/service/ConfigurationFreshness.java
@@ -17,11 +17,10 @@
     private static final Duration ARRIVAL_TIME = Duration.ofMillis(200);
 
     /**
-     * How long a version that was heard of may be missing in the table until whoever told of it counts as wrong. A
-     * store that has come back from a copy lacks it until the operator writes again; the peers' documents have come by
-     * then.
+     * How long after a new era of the store has begun the table may lack versions that peers have in force. The
+     * operator has written them again by then.
      */
-    private static final Duration DOCUMENT_TIME = Duration.ofSeconds(2);
+    private static final Duration REWRITING_TIME = Duration.ofSeconds(10);
 
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -42,6 +41,12 @@
     /** The last version that was told of and does not exist; -1 before one. */
     private long disprovedVersion = -1;
 
+    /** Whether an era of the store has begun whose table was not read yet. */
+    private boolean eraBegun;
+
+    /** Until when the table may lack versions that exist, in milliseconds of the shared clock. */
+    private long incompleteUntilMillis;
+
     private ConfigurationFreshness(SharedClock clock, FreshnessBounds bounds) {
         this.clock = clock;
         this.bounds = bounds;
@@ -142,13 +147,27 @@
      */
     public void recordTableRead(long version, long tableMillis) {
         read = read.later(new ConfirmedConfiguration(version, tableMillis, 0));
-        if (announcedVersion > version && tableMillis - announcedMillis >= DOCUMENT_TIME.toMillis()) {
+        if (eraBegun) {
+            eraBegun = false;
+            incompleteUntilMillis = tableMillis + REWRITING_TIME.toMillis();
+        }
+        boolean missing = announcedVersion > version && tableMillis >= announcedMillis;
+        if (missing && tableMillis >= incompleteUntilMillis) {
+            // Whoever told of a newer version was wrong.
             disprovedVersion = announcedVersion;
             announcedVersion = version;
             told = ConfirmedConfiguration.NONE;
         }
     }
 
+    /**
+     * Records that the store has told its era for the first time, or has begun a new one: it may have come back from a
+     * copy that lacks versions which peers have in force.
+     */
+    public void recordNewEra() {
+        eraBegun = true;
+    }
+
     /**
      * Records what a peer tells of the configuration that it has in force.
      *
--- a/core/src/test/java/org/geraniumford/core/service/ConfigurationFreshnessTest.java
+++ b/core/src/test/java/org/geraniumford/core/service/ConfigurationFreshnessTest.java
@@ -79,33 +79,46 @@
 
     /** A peer that is wrong must not keep this entry from refusing, nor make it ask again and again. */
     @Test
-    void shouldForgetANewerVersionThatNeitherTheTableHasNorAPeerSends() {
+    void shouldForgetANewerVersionThatTheTableDoesNotHave() {
         localMillis += 10;
         freshness.recordGossip(told(Long.MAX_VALUE, START + 5));
-        freshness.recordTableRead(5, START + 2009);
-        assertThat(freshness.allowsRefusal(5))
-                .as("its document may be on its way")
-                .isFalse();
-        freshness.recordTableRead(5, START + 2010);
-        localMillis += 2000;
+        freshness.recordTableRead(5, START + 9);
+        assertThat(freshness.allowsRefusal(5)).as("read before it was heard of").isFalse();
+        freshness.recordTableRead(5, START + 10);
         assertThat(freshness.allowsRefusal(5)).isTrue();
-        freshness.recordGossip(told(Long.MAX_VALUE, START + 2010));
-        assertThat(freshness.allowsRefusal(5)).as("told once more").isTrue();
+        freshness.recordGossip(told(5, START + 10));
         localMillis += 2000;
+        assertThat(freshness.ageMillis(5)).isEqualTo(2000);
+    }
+
+    @Test
+    void shouldNotBelieveAVersionOnceMoreThatTheTableDoesNotHave() {
+        localMillis += 10;
+        freshness.recordGossip(told(Long.MAX_VALUE, START + 5));
+        freshness.recordTableRead(5, START + 10);
+        freshness.recordGossip(told(Long.MAX_VALUE, START + 10));
+        assertThat(freshness.allowsRefusal(5)).isTrue();
+        localMillis += 4000;
         freshness.recordGossip(told(5, START + 3000));
         assertThat(freshness.ageMillis(5)).isEqualTo(1010);
     }
 
     /** Guards against an entry that starts from a copy of the store, and confirms what its peers have replaced. */
     @Test
-    void shouldNotRefuseByTheTableWhileAPeersNewerDocumentMayBeOnItsWay() {
+    void shouldNotRefuseByATableThatMayLackWhatPeersHaveInForce() {
+        freshness.recordNewEra();
         localMillis += 10;
         freshness.recordGossip(told(6, START + 5));
         freshness.recordTableRead(5, START + 10);
-        freshness.recordTableRead(5, START + 900);
         assertThat(freshness.allowsRefusal(5)).isFalse();
-        freshness.recordTableRead(6, START + 901);
-        assertThat(freshness.allowsRefusal(6)).isTrue();
+        localMillis += 9000;
+        freshness.recordTableRead(5, START + 9010);
+        assertThat(freshness.allowsRefusal(5)).isFalse();
+        localMillis += 1000;
+        freshness.recordTableRead(5, START + 10_010);
+        assertThat(freshness.allowsRefusal(5))
+                .as("the operator has written again")
+                .isTrue();
     }
 
     @Test
