--- a/core/src/main/java/org/geraniumford/core/store/StoreVersion.java
+++ b/core/src/main/java/org/geraniumford/core/store/StoreVersion.java
@@ -38,12 +38,22 @@
      * Returns the version that has an ordinal.
      *
      * @param ordinal the ordinal, as from {@link #ordinal}
-     * @return the version
+     * @return the version; an {@link IllegalArgumentException} is thrown if no version has this ordinal
      */
     public static StoreVersion ofOrdinal(long ordinal) {
         return new StoreVersion(ordinal / NUMBERS, ordinal % NUMBERS);
     }
 
+    /**
+     * Returns whether a number is the ordinal of a version.
+     *
+     * @param number any number, for example one that a peer sent
+     * @return false if no version has it
+     */
+    public static boolean isOrdinal(long number) {
+        return number >= 0 && number < ERAS * NUMBERS;
+    }
+
     /**
      * Returns the ordinal of a version that may be absent.
      *
--- a/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
+++ b/daemon/src/main/java/org/geraniumford/daemon/weights/KnownLease.java
@@ -214,7 +214,7 @@
      * @return whether it was applied
      */
     boolean applyGossip(LeaseSnapshot snapshot) {
-        if (snapshot.version() <= knownVersion) {
+        if (snapshot.version() <= knownVersion || !StoreVersion.isOrdinal(snapshot.version())) {
             return false;
         }
         Optional<WeightsLease> announced = WeightsLease.decode(snapshot.encodedLease());
--- a/daemon/src/test/java/org/geraniumford/daemon/weights/KnownLeaseTest.java
+++ b/daemon/src/test/java/org/geraniumford/daemon/weights/KnownLeaseTest.java
@@ -90,4 +90,14 @@
                 row(7, version(1, 400), version(1, 390)).snapshot().encodedLease()));
         assertThat(known.rowVersion()).isEqualTo(version(2, 31));
     }
+
+    /** Guards against a faulty peer after whose message each write of the row fails here. */
+    @Test
+    void shouldIgnoreAVersionThatNoStoreGivesOut() {
+        known.applyRead(row(7, version(2, 30), version(2, 28)), clock.nanos());
+        known.applyGossip(new LeaseSnapshot(
+                Long.MAX_VALUE,
+                row(8, version(2, 31), version(2, 30)).snapshot().encodedLease()));
+        assertThat(known.rowVersion()).isEqualTo(version(2, 30));
+    }
 }
